Relay clients' requests on the users' platform, with stage calls shared by all instances

Cause: the product had no way to serve the users' machines: no routes by host and prefix, no byte-exact relaying, no shared stage calls, no store feed. Ruled out: going through the JSON listener and the table orders, since bodies must stay byte for byte and each attempt arrives at one instance only. Before: nothing served.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -78,6 +78,7 @@
 	}
 	root.AddCommand(
 		newServe(),
+		newEdge(),
 		newCall(),
 		newOrder(),
 		newStatus(),
--- /dev/null
+++ b/internal/server/batcher/queue.go
@@ -0,0 +1,316 @@
+package batcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"oriolemill.example/oriolemill/internal/server"
+)
+
+const (
+	// patience is how long a piece waits for a replica in the data centre where
+	// its result is wanted.
+	patience = 150 * time.Millisecond
+	// slowFactor is how many times slower than the best a replica may be before
+	// pieces wait for a better one.
+	slowFactor = 1.8
+	// paceGain is the weight of the newest call in a replica's pace.
+	paceGain = 0.4
+	// minPace and maxPace bound what one call says of a replica.
+	minPace, maxPace = 0.3, 12
+)
+
+// bench is a replica as its service's owner sees it.
+type bench struct {
+	server.Replica
+	// calls is the number of calls in progress.
+	calls int
+	// pace is the time of calls over the time that the plan states.
+	pace float64
+	// free is when the call in progress is expected to end.
+	free time.Time
+	// used is the room that results take, by handle with their sizes.
+	used    int64
+	results map[string]result
+	// blocked is until when the replica gets no call.
+	blocked  time.Time
+	failures int
+	gone     bool
+}
+
+// result is one result in a replica's memory.
+type result struct {
+	bytes   int64
+	expires time.Time
+}
+
+func newBench(replica server.Replica) *bench {
+	return &bench{Replica: replica, pace: 1, results: make(map[string]result)}
+}
+
+// timed learns from a call that took a time where span was stated.
+func (b *bench) timed(took, span time.Duration) {
+	pace := min(max(float64(took)/float64(max(span, time.Millisecond)), minPace), maxPace)
+	b.pace += paceGain * (pace - b.pace)
+}
+
+// expire forgets results that the replica does not keep any more.
+func (b *bench) expire(now time.Time) {
+	for handle, r := range b.results {
+		if now.After(r.expires) {
+			b.used -= r.bytes
+			delete(b.results, handle)
+		}
+	}
+}
+
+// release forgets a result and reports whether it was known.
+func (b *bench) release(handle string) bool {
+	r, ok := b.results[handle]
+	if ok {
+		b.used -= r.bytes
+		delete(b.results, handle)
+	}
+	return ok
+}
+
+// span is the expected time of a call with n pieces.
+func (b *bench) span(batch *server.Batch, n int) time.Duration {
+	return time.Duration(b.pace * float64(batch.Span(n)))
+}
+
+// queue holds the pieces of one service. It decides without clock, network or
+// goroutine.
+type queue struct {
+	batch   server.Batch
+	items   []*item
+	benches map[string]*bench
+	numbers uint64
+}
+
+func newQueue() *queue { return &queue{benches: make(map[string]*bench)} }
+
+// add queues a task's pieces.
+func (q *queue) add(t *task) {
+	q.numbers++
+	t.number = q.numbers
+	for i := range t.Pieces {
+		q.items = append(q.items, &item{task: t, index: i})
+	}
+}
+
+// call is a call that shall be made.
+type call struct {
+	bench *bench
+	items []*item
+	span  time.Duration
+}
+
+// next returns the next call to make now, or nil. Pieces that cannot be made in
+// time any more are returned as hopeless and leave the queue.
+func (q *queue) next(now time.Time) (*call, []*item) {
+	hopeless := q.prune(now)
+	if len(q.items) == 0 {
+		return nil, hopeless
+	}
+	idle := q.idle(now)
+	if len(idle) == 0 {
+		return nil, hopeless
+	}
+	q.sort(now)
+	places := q.places(now)
+	for _, b := range idle {
+		if q.better(b, now) {
+			continue
+		}
+		if items := q.fill(b, places, now); len(items) > 0 {
+			return q.start(b, items, now), hopeless
+		}
+	}
+	return nil, hopeless
+}
+
+// prune takes out what has ended and what is hopeless.
+func (q *queue) prune(now time.Time) []*item {
+	var hopeless []*item
+	shortest := q.shortest()
+	kept := q.items[:0]
+	for _, i := range q.items {
+		switch {
+		case i.task.ended:
+		case now.Add(shortest).After(i.task.Last):
+			hopeless = append(hopeless, i)
+		default:
+			kept = append(kept, i)
+		}
+	}
+	clear(q.items[len(kept):])
+	q.items = kept
+	return hopeless
+}
+
+// shortest is the time of a call with one piece at the best replica.
+func (q *queue) shortest() time.Duration {
+	pace := 0.0
+	for _, b := range q.benches {
+		if !b.gone && (pace == 0 || b.pace < pace) {
+			pace = b.pace
+		}
+	}
+	return time.Duration(min(pace, 1) * float64(q.batch.Span(1)))
+}
+
+// idle returns the replicas that can take a call, the fastest first.
+func (q *queue) idle(now time.Time) []*bench {
+	var idle []*bench
+	for _, b := range q.benches {
+		if !b.gone && b.calls < q.batch.Slots && !now.Before(b.blocked) {
+			b.expire(now)
+			idle = append(idle, b)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *bench) int {
+		return cmp.Or(cmp.Compare(a.pace, b.pace), cmp.Compare(a.ID, b.ID))
+	})
+	return idle
+}
+
+// sort orders pieces: those that can be on time before those that are late
+// anyway, then by rank, then by what is due first.
+func (q *queue) sort(now time.Time) {
+	soon := now.Add(q.shortest())
+	late := func(i *item) int {
+		if soon.After(i.task.Goal) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(q.items, func(a, b *item) int {
+		if a.task == b.task {
+			return cmp.Compare(a.index, b.index)
+		}
+		return cmp.Or(
+			cmp.Compare(late(a), late(b)),
+			cmp.Compare(a.task.Priority, b.task.Priority),
+			a.task.Goal.Compare(b.task.Goal),
+			cmp.Compare(a.task.number, b.task.number),
+		)
+	})
+}
+
+// places returns the data centres with a replica that pieces may wait for.
+func (q *queue) places(now time.Time) map[string]bool {
+	places := make(map[string]bool)
+	for _, b := range q.benches {
+		if !b.gone && !now.Before(b.blocked) && !q.slow(b) {
+			places[b.Datacentre] = true
+		}
+	}
+	return places
+}
+
+func (q *queue) slow(b *bench) bool { return b.pace > slowFactor*q.best() }
+
+func (q *queue) best() float64 {
+	best := 0.0
+	for _, b := range q.benches {
+		if !b.gone && (best == 0 || b.pace < best) {
+			best = b.pace
+		}
+	}
+	return best
+}
+
+// better reports whether pieces are made sooner by waiting for another replica
+// than by a slow one that is idle.
+func (q *queue) better(slow *bench, now time.Time) bool {
+	if !q.slow(slow) {
+		return false
+	}
+	end := now.Add(slow.span(&q.batch, min(len(q.items), q.batch.Size)))
+	for _, b := range q.benches {
+		if b.gone || b == slow || q.slow(b) || now.Before(b.blocked) {
+			continue
+		}
+		// A busy replica takes what waits before, so this call is the next but
+		// one where the queue is longer than a call.
+		calls := 1 + len(q.items)/max(q.batch.Size*len(q.benches), 1)
+		free := b.free
+		if free.Before(now) {
+			free = now
+		}
+		if free.Add(time.Duration(calls) * b.span(&q.batch, q.batch.Size)).Before(end) {
+			return true
+		}
+	}
+	return false
+}
+
+// fill chooses pieces for a replica, within the size of a call and its room.
+func (q *queue) fill(b *bench, places map[string]bool, now time.Time) []*item {
+	var items []*item
+	room := q.batch.Room - b.used
+	for _, i := range q.items {
+		if len(items) == q.batch.Size {
+			break
+		}
+		t := i.task
+		if t.Datacentre != "" && t.Datacentre != b.Datacentre && places[t.Datacentre] && now.Sub(t.enqueued) < patience {
+			continue
+		}
+		if q.batch.Room > 0 && t.Bytes > room {
+			continue
+		}
+		room -= t.Bytes
+		items = append(items, i)
+	}
+	return items
+}
+
+// start takes pieces out of the queue for a call.
+func (q *queue) start(b *bench, items []*item, now time.Time) *call {
+	taken := make(map[*item]bool, len(items))
+	for _, i := range items {
+		taken[i] = true
+		b.used += i.task.Bytes
+	}
+	q.items = slices.DeleteFunc(q.items, func(i *item) bool { return taken[i] })
+	span := b.span(&q.batch, len(items))
+	b.calls++
+	b.free = now.Add(span)
+	return &call{bench: b, items: items, span: span}
+}
+
+// finish gives a call's room back; results that were made take theirs.
+func (q *queue) finish(c *call) {
+	c.bench.calls--
+	for _, i := range c.items {
+		c.bench.used -= i.task.Bytes
+	}
+}
+
+// wait estimates how long a new piece of a rank waits before its call begins.
+func (q *queue) wait(priority int, now time.Time) time.Duration {
+	live := 0
+	var busy time.Duration
+	var perPiece float64
+	for _, b := range q.benches {
+		if b.gone || now.Before(b.blocked) {
+			continue
+		}
+		live++
+		busy += max(b.free.Sub(now), 0)
+		perPiece += float64(q.batch.Size) / float64(max(b.span(&q.batch, q.batch.Size), time.Millisecond))
+	}
+	if live == 0 {
+		return q.batch.Span(q.batch.Size)
+	}
+	ahead := 0
+	for _, i := range q.items {
+		if i.task.Priority <= priority {
+			ahead++
+		}
+	}
+	return busy/time.Duration(live*live) + time.Duration(float64(ahead)/perPiece)
+}
--- /dev/null
+++ b/internal/server/batcher/sharer.go
@@ -0,0 +1,218 @@
+package batcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
+)
+
+const (
+	// maxOwners bounds the owners that a job is sent to, one after the other.
+	maxOwners = 4
+	// releaseWait gathers results to release at their owner.
+	releaseWait = 15 * time.Millisecond
+	// ranks is the number of priorities that waits are told for.
+	ranks = 4
+	// waitsFresh is how long told waits are believed.
+	waitsFresh = 700 * time.Millisecond
+	// withdrawTimeout bounds a message to an owner that nobody waits for.
+	withdrawTimeout = time.Second
+)
+
+// Links reach the other instances.
+type Links interface {
+	Self() server.Instance
+	Owner(name string) string
+	Call(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error)
+	Tell(ctx context.Context, id string, frame *encoder.Frame) error
+}
+
+// Sharer sends jobs to the owners of their services.
+type Sharer struct {
+	log      logr.Logger
+	timer    server.Timer
+	links    Links
+	owner    *Owner
+	mu       sync.Mutex
+	releases map[string][]string
+	armed    bool
+	waits    map[string]waits
+}
+
+// waits are the expected waits at a service by rank, as its owner told.
+type waits struct {
+	ranks []time.Duration
+	at    time.Time
+}
+
+// NewSharer returns a Sharer; owner serves the services that are this instance's.
+func NewSharer(log logr.Logger, timer server.Timer, links Links, owner *Owner) *Sharer {
+	return &Sharer{log: log, timer: timer, links: links, owner: owner, releases: make(map[string][]string), waits: make(map[string]waits)}
+}
+
+// Make returns the results of a job. The error is set when no owner answered or
+// ctx ended.
+func (s *Sharer) Make(ctx context.Context, job *Job) (Result, error) {
+	var last error
+	for range maxOwners {
+		owner := s.links.Owner(job.Service)
+		if owner == s.links.Self().ID {
+			return s.local(ctx, job)
+		}
+		result, err := s.remote(ctx, owner, job)
+		if err == nil || ctx.Err() != nil {
+			return result, err
+		}
+		last = err
+		s.log.Info("owner of the stage service lost, asking the next", "request", job.Request, "service", job.Service, "owner", owner, "cause", err.Error())
+	}
+	s.log.Info("no owner answers, batching alone", "request", job.Request, "service", job.Service, "cause", last.Error())
+	return s.local(ctx, job)
+}
+
+func (s *Sharer) local(ctx context.Context, job *Job) (Result, error) {
+	done := make(chan Result, 1)
+	s.owner.Submit(job, func(r Result) { done <- r })
+	s.note(job.Service, s.owner.Waits(job.Service, ranks))
+	select {
+	case result := <-done:
+		return result, nil
+	case <-ctx.Done():
+		s.owner.Withdraw(job.Service, job.Request)
+		s.orphan(job.Service, done)
+		return Result{}, context.Cause(ctx)
+	}
+}
+
+// orphan releases results that came while the job was withdrawn.
+func (s *Sharer) orphan(service string, done <-chan Result) {
+	select {
+	case result := <-done:
+		s.Release(service, result.Handles)
+	default:
+	}
+}
+
+func (s *Sharer) remote(ctx context.Context, owner string, job *Job) (Result, error) {
+	now := s.timer.Now()
+	ask := &encoder.PiecesAsk{
+		Service: job.Service, Request: job.Request, Stage: uint32(job.Stage), Key: job.Key, Inputs: job.Inputs,
+		Datacentre: job.Datacentre, Bytes: uint64(job.Bytes), Priority: uint32(job.Priority),
+		GoalMs: job.Goal.Sub(now).Milliseconds(), LeftMs: job.Last.Sub(now).Milliseconds(),
+	}
+	for _, piece := range job.Pieces {
+		ask.Pieces = append(ask.Pieces, uint32(piece))
+	}
+	answer, err := s.links.Call(ctx, owner, &encoder.Frame{Body: &encoder.Frame_Pieces{Pieces: ask}})
+	if err != nil {
+		if ctx.Err() != nil {
+			s.withdraw(owner, job)
+			return Result{}, context.Cause(ctx)
+		}
+		return Result{}, err
+	}
+	made := answer.GetMade()
+	told := make([]time.Duration, len(made.GetWaitsMs()))
+	for rank, ms := range made.GetWaitsMs() {
+		told[rank] = time.Duration(ms) * time.Millisecond
+	}
+	s.note(job.Service, told)
+	return Result{Handles: made.GetHandles(), Failing: server.Failing(made.GetFailing())}, nil
+}
+
+// withdraw tells the owner that nobody waits for a job any more.
+func (s *Sharer) withdraw(owner string, job *Job) {
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	frame := &encoder.Frame{Body: &encoder.Frame_Withdraw{Withdraw: &encoder.Withdraw{Service: job.Service, Request: job.Request}}}
+	if err := s.links.Tell(ctx, owner, frame); err != nil {
+		s.log.Info("job not withdrawn; its results expire", "request", job.Request, "service", job.Service, "owner", owner, "cause", err.Error())
+	}
+}
+
+// Serve answers another instance's job.
+func (s *Sharer) Serve(ctx context.Context, ask *encoder.PiecesAsk) *encoder.Frame {
+	now := s.timer.Now()
+	job := &Job{
+		Service: ask.GetService(), Request: ask.GetRequest(), Stage: int(ask.GetStage()), Key: ask.GetKey(), Inputs: ask.GetInputs(),
+		Datacentre: ask.GetDatacentre(), Bytes: int64(ask.GetBytes()), Priority: int(ask.GetPriority()),
+		Goal: now.Add(time.Duration(ask.GetGoalMs()) * time.Millisecond), Last: now.Add(time.Duration(ask.GetLeftMs()) * time.Millisecond),
+	}
+	for _, piece := range ask.GetPieces() {
+		job.Pieces = append(job.Pieces, int(piece))
+	}
+	done := make(chan Result, 1)
+	s.owner.Submit(job, func(r Result) { done <- r })
+	answer := &encoder.PiecesAnswer{}
+	select {
+	case result := <-done:
+		answer.Handles, answer.Failing = result.Handles, string(result.Failing)
+	case <-ctx.Done():
+		answer.Failing = string(server.FailingError)
+	}
+	for _, wait := range s.owner.Waits(job.Service, ranks) {
+		answer.WaitsMs = append(answer.WaitsMs, uint32(wait.Milliseconds()))
+	}
+	return &encoder.Frame{Body: &encoder.Frame_Made{Made: answer}}
+}
+
+// Release gives results up; they are gathered and told to the service's owner.
+func (s *Sharer) Release(service string, handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releases[service] = append(s.releases[service], handles...)
+	if !s.armed {
+		s.armed = true
+		s.timer.After(releaseWait, func(time.Time) { go s.flush() })
+	}
+}
+
+func (s *Sharer) flush() {
+	s.mu.Lock()
+	releases := s.releases
+	s.releases, s.armed = make(map[string][]string), false
+	s.mu.Unlock()
+	for service, handles := range releases {
+		owner := s.links.Owner(service)
+		if owner == s.links.Self().ID {
+			s.owner.Release(service, handles)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+		frame := &encoder.Frame{Body: &encoder.Frame_Release{Release: &encoder.Release{Service: service, Handles: handles}}}
+		if err := s.links.Tell(ctx, owner, frame); err != nil {
+			s.owner.Release(service, handles)
+		}
+		cancel()
+	}
+}
+
+func (s *Sharer) note(service string, told []time.Duration) {
+	if len(told) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waits[service] = waits{ranks: told, at: s.timer.Now()}
+}
+
+// Wait returns the expected wait at a service for a rank, as last told, and
+// its age; zero when it is not known.
+func (s *Sharer) Wait(service string, priority int) (wait, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.waits[service]
+	age = s.timer.Now().Sub(w.at)
+	if !ok || age > waitsFresh {
+		return 0, age
+	}
+	return w.ranks[min(priority, len(w.ranks)-1)], age
+}
--- /dev/null
+++ b/internal/server/composer/count.go
@@ -0,0 +1,53 @@
+package composer
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metricsHandler serves the counters at every path.
+func (i *Instance) metricsHandler() http.Handler {
+	return promhttp.HandlerFor(i.meter.Registry(), promhttp.HandlerOpts{})
+}
+
+// count adds the counters that parts keep themselves.
+func (i *Instance) count() {
+	add := func(options prometheus.CounterOpts, value func() uint64) {
+		i.meter.Gauge(prometheus.NewCounterFunc(options, func() float64 { return float64(value()) }))
+	}
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_log_lines_total", Help: "Log lines written.",
+	}, func() uint64 { lines, _, _ := i.recorder.Counts(); return lines })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_log_bytes_total", Help: "Bytes of log lines written.",
+	}, func() uint64 { _, bytes, _ := i.recorder.Counts(); return bytes })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_log_dropped_total", Help: "Log lines dropped since the volume is bounded.",
+	}, func() uint64 { _, _, dropped := i.recorder.Counts(); return dropped })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_connections_opened_total", Help: "Connections opened to replicas.",
+	}, func() uint64 { opened, _ := i.dialer.Counts(); return opened })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_connections_reused_total", Help: "Requests sent over a kept connection.",
+	}, func() uint64 { _, reused := i.dialer.Counts(); return reused })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_batch_calls_total", Help: "Stage calls made as an owner.",
+	}, func() uint64 { return i.owner.Counts().Calls })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_batch_pieces_total", Help: "Pieces in stage calls made as an owner.",
+	}, func() uint64 { return i.owner.Counts().Pieces })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_batch_repeated_total", Help: "Pieces that were asked for again.",
+	}, func() uint64 { return i.owner.Counts().Repeated })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_batch_room_total", Help: "Pieces that found no room at their replica.",
+	}, func() uint64 { return i.owner.Counts().Room })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_batch_full_total", Help: "Stage calls that found their replica full.",
+	}, func() uint64 { return i.owner.Counts().Full })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_batch_late_total", Help: "Jobs given up since they could not end in time.",
+	}, func() uint64 { return i.owner.Counts().Late })
+}
--- /dev/null
+++ b/internal/server/linker/linker.go
@@ -0,0 +1,334 @@
+// Package linker carries calls between the instances of a deployment: one yamux
+// session for each pair that has something to say, one stream for each call.
+//
+// Members are named by rows of the store. One that does not answer is down until
+// it answers a dial again.
+package linker
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
+)
+
+// Handler answers the frames of other instances; nil is no answer.
+type Handler func(ctx context.Context, from string, frame *encoder.Frame) *encoder.Frame
+
+// Linker keeps the links of one instance.
+type Linker struct {
+	log     logr.Logger
+	timer   server.Timer
+	self    server.Instance
+	socket  net.Listener
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+	handler Handler
+	lost    func(id string, since time.Time)
+	mu      sync.Mutex
+	members map[string]*member
+	ctx     context.Context
+	cancel  context.CancelFunc
+	work    sync.WaitGroup
+}
+
+// member is another instance.
+type member struct {
+	server.Instance
+	link *link
+	// down is when it stopped to answer; zero while it answers.
+	down time.Time
+	// leaving is set when it said that it stops.
+	leaving  bool
+	reviving bool
+}
+
+// Option sets a property of a Linker.
+type Option func(*Linker)
+
+// WithDial replaces the network.
+func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(l *Linker) { l.dial = dial }
+}
+
+// WithLost sets what is called, again and again, while a member does not answer.
+func WithLost(lost func(id string, since time.Time)) Option {
+	return func(l *Linker) { l.lost = lost }
+}
+
+// New returns a Linker that accepts links on socket once it is started.
+func New(log logr.Logger, timer server.Timer, self server.Instance, socket net.Listener, options ...Option) *Linker {
+	ctx, cancel := context.WithCancel(context.Background())
+	network := &net.Dialer{Timeout: dialTimeout}
+	l := &Linker{
+		log: log, timer: timer, self: self, socket: socket, members: make(map[string]*member),
+		ctx: ctx, cancel: cancel, lost: func(string, time.Time) {},
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return network.DialContext(ctx, "tcp", address)
+		},
+	}
+	for _, option := range options {
+		option(l)
+	}
+	return l
+}
+
+// Start accepts links and answers their frames with handler.
+func (l *Linker) Start(handler Handler) {
+	l.handler = handler
+	l.work.Go(l.accept)
+}
+
+// Stop ends all links.
+func (l *Linker) Stop() {
+	l.cancel()
+	_ = l.socket.Close()
+	l.mu.Lock()
+	for _, m := range l.members {
+		if m.link != nil {
+			_ = m.link.session.Close()
+		}
+	}
+	l.mu.Unlock()
+	l.work.Wait()
+}
+
+// Self returns this instance.
+func (l *Linker) Self() server.Instance { return l.self }
+
+// Follow takes the instances that have rows.
+func (l *Linker) Follow(instances []server.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listed := make(map[string]bool, len(instances))
+	for _, instance := range instances {
+		listed[instance.ID] = true
+		if instance.ID == l.self.ID {
+			continue
+		}
+		m := l.members[instance.ID]
+		if m == nil || m.Born != instance.Born || m.Address != instance.Address {
+			l.join(m, instance)
+		}
+	}
+	for id, m := range l.members {
+		if !listed[id] {
+			l.log.Info("instance left", "instance", id)
+			l.drop(m)
+			delete(l.members, id)
+		}
+	}
+}
+
+// join takes a new incarnation of a member; mu is held.
+func (l *Linker) join(old *member, instance server.Instance) {
+	if old != nil {
+		l.drop(old)
+	}
+	m := &member{Instance: instance}
+	l.members[instance.ID] = m
+	l.log.Info("instance joined", "instance", instance.ID, "address", instance.Address, "datacentre", instance.Datacentre, "born", instance.Born)
+	l.revive(m, 0)
+}
+
+func (l *Linker) drop(m *member) {
+	if m.link != nil {
+		_ = m.link.session.Close()
+		m.link = nil
+	}
+}
+
+// Up returns the instances that answer, this one included, by ID.
+func (l *Linker) Up() []server.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := []server.Instance{l.self}
+	for _, m := range l.members {
+		if m.down.IsZero() && !m.leaving {
+			list = append(list, m.Instance)
+		}
+	}
+	slices.SortFunc(list, func(a, b server.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Count returns how many instances may be alive, this one included.
+func (l *Linker) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.members) + 1
+}
+
+// Owner returns the instance that answers for a name: the same on every
+// instance that sees the same members.
+func (l *Linker) Owner(name string) string {
+	var best string
+	var most uint64
+	for _, instance := range l.Up() {
+		if weight := xxhash.Sum64String(name + "\x00" + instance.ID); best == "" || weight > most {
+			best, most = instance.ID, weight
+		}
+	}
+	return best
+}
+
+// Call sends a frame and returns the answer. An error means that the member
+// is not reached or does not answer, unless ctx ended.
+func (l *Linker) Call(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error) {
+	link, err := l.link(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := link.call(ctx, frame)
+	if err != nil && ctx.Err() == nil {
+		l.fail(id, link, err)
+	}
+	return answer, err
+}
+
+// Tell sends a frame that has no answer to a member that is linked or can be.
+func (l *Linker) Tell(ctx context.Context, id string, frame *encoder.Frame) error {
+	link, err := l.link(ctx, id)
+	if err != nil {
+		return err
+	}
+	return link.tell(frame)
+}
+
+// Broadcast sends a frame to all members that are linked now.
+func (l *Linker) Broadcast(frame *encoder.Frame) {
+	l.mu.Lock()
+	var links []*link
+	for _, m := range l.members {
+		if m.link != nil {
+			links = append(links, m.link)
+		}
+	}
+	l.mu.Unlock()
+	for _, link := range links {
+		// A link that breaks is noticed by the calls on it.
+		_ = link.tell(frame)
+	}
+}
+
+// Leaving notes that a member stops.
+func (l *Linker) Leaving(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m := l.members[id]; m != nil && !m.leaving {
+		m.leaving = true
+		l.log.Info("instance is stopping", "instance", id)
+	}
+}
+
+// link returns the link to a member, dialing one if there is none.
+func (l *Linker) link(ctx context.Context, id string) (*link, error) {
+	l.mu.Lock()
+	m := l.members[id]
+	if m == nil || !m.down.IsZero() {
+		l.mu.Unlock()
+		return nil, server.NewFault("link", id, server.ErrUnavailable)
+	}
+	known, instance := m.link, m.Instance
+	l.mu.Unlock()
+	if known != nil && !known.session.IsClosed() {
+		return known, nil
+	}
+	fresh, err := l.open(ctx, instance)
+	if err != nil {
+		if ctx.Err() == nil {
+			l.fail(id, known, err)
+		}
+		return nil, err
+	}
+	return l.adopt(instance, fresh)
+}
+
+// adopt keeps a fresh link, or drops it when there is one already.
+func (l *Linker) adopt(instance server.Instance, fresh *link) (*link, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.members[instance.ID]
+	if m == nil || m.Born != instance.Born {
+		_ = fresh.session.Close()
+		return nil, server.NewFault("link", instance.ID, merry.Prepend(server.ErrUnavailable, "instance was replaced"))
+	}
+	if m.link != nil && !m.link.session.IsClosed() {
+		_ = fresh.session.Close()
+		return m.link, nil
+	}
+	m.link = fresh
+	return fresh, nil
+}
+
+// fail takes a member as down and begins to look for its return.
+func (l *Linker) fail(id string, broken *link, cause error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.members[id]
+	if m == nil || m.link != broken && broken != nil {
+		return
+	}
+	l.drop(m)
+	if !m.down.IsZero() {
+		return
+	}
+	m.down = l.timer.Now()
+	l.log.Info("instance lost", "instance", id, "cause", cause.Error())
+	l.revive(m, firstRevive)
+}
+
+// revive dials a member until it answers or is replaced; mu is held.
+func (l *Linker) revive(m *member, wait time.Duration) {
+	if m.reviving || l.ctx.Err() != nil {
+		return
+	}
+	m.reviving = true
+	l.work.Go(func() {
+		for wait := wait; server.Sleep(l.ctx, l.timer, wait) == nil; wait = min(max(2*wait, firstRevive), lastRevive) {
+			if l.revived(m) {
+				return
+			}
+		}
+	})
+}
+
+// revived makes one dial and reports whether the search is over.
+func (l *Linker) revived(m *member) bool {
+	fresh, err := l.open(l.ctx, m.Instance)
+	if err == nil {
+		_, err = fresh.session.Ping()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.members[m.ID] != m {
+		if fresh != nil {
+			_ = fresh.session.Close()
+		}
+		return true
+	}
+	if err != nil {
+		if m.down.IsZero() {
+			m.down = l.timer.Now()
+			l.log.Info("instance lost", "instance", m.ID, "cause", err.Error())
+		}
+		go l.lost(m.ID, m.down)
+		return false
+	}
+	m.reviving = false
+	l.drop(m)
+	m.link = fresh
+	if !m.down.IsZero() {
+		l.log.Info("instance regained", "instance", m.ID, "away_ms", l.timer.Now().Sub(m.down).Milliseconds())
+		m.down = time.Time{}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/server/router/router.go
@@ -0,0 +1,100 @@
+// Package router finds the route and the tenant of a relayed request.
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oriolemill.example/oriolemill/internal/server"
+)
+
+// Router answers for one version of the plan. It never changes.
+type Router struct {
+	plan    *server.Plan
+	hosts   map[string][]*server.Route
+	tenants map[string]*server.Tenant
+}
+
+// New returns the Router of a plan, which must not be changed any more.
+func New(plan *server.Plan) *Router {
+	r := &Router{plan: plan, hosts: make(map[string][]*server.Route), tenants: make(map[string]*server.Tenant)}
+	for i := range plan.Routes {
+		route := &plan.Routes[i]
+		host := strings.ToLower(route.Host)
+		r.hosts[host] = append(r.hosts[host], route)
+	}
+	for _, routes := range r.hosts {
+		slices.SortStableFunc(routes, func(a, b *server.Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range plan.Tenants {
+		for _, key := range plan.Tenants[i].Keys {
+			r.tenants[key] = &plan.Tenants[i]
+		}
+	}
+	return r
+}
+
+// Plan returns the plan that the router answers for.
+func (r *Router) Plan() *server.Plan { return r.plan }
+
+// Route returns the route with the longest prefix, or nil.
+func (r *Router) Route(host, path string) *server.Route {
+	host = strings.ToLower(host)
+	routes, ok := r.hosts[host]
+	if !ok {
+		name, _, found := strings.Cut(host, ":")
+		if !found {
+			return nil
+		}
+		routes = r.hosts[name]
+	}
+	for _, route := range routes {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Tenant returns the tenant that holds a key. The result is nil on routes that
+// need none; ok is false where one is needed and the key is unknown.
+func (r *Router) Tenant(route *server.Route, key string) (tenant *server.Tenant, ok bool) {
+	tenant = r.tenants[key]
+	if len(r.plan.Tenants) == 0 || route.Public {
+		return tenant, true
+	}
+	return tenant, tenant != nil
+}
+
+// Priority returns the rank of a tenant's request on a route.
+func Priority(route *server.Route, tenant *server.Tenant) int {
+	if tenant != nil && tenant.Priority != nil {
+		return *tenant.Priority
+	}
+	return route.Priority
+}
+
+// Service returns the service for a request. The same attempt always goes to
+// the same service of one plan.
+func Service(route *server.Route, attempt string) string {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	total := 0
+	for _, share := range route.Shares {
+		total += share.Weight
+	}
+	if total <= 0 {
+		return route.Shares[rand.IntN(len(route.Shares))].Service
+	}
+	at := int(xxhash.Sum64String(attempt) % uint64(total))
+	for _, share := range route.Shares {
+		if at -= share.Weight; at < 0 {
+			return share.Service
+		}
+	}
+	return route.Shares[len(route.Shares)-1].Service
+}
--- /dev/null
+++ b/internal/server/router/router_test.go
@@ -0,0 +1,70 @@
+package router_test
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/router"
+)
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	is := is.New(t)
+	r := router.New(&server.Plan{Routes: []server.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "A.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+	}})
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"A.EXAMPLE:80", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"a.example", "/x", ""},
+		{"a.example", "/y/", ""},
+		{"c.example", "/x/", ""},
+		{"b.example", "/x/y/z/", "other"},
+	} {
+		got := ""
+		if route := r.Route(c.host, c.path); route != nil {
+			got = route.Name
+		}
+		is.Equal(got, c.want) // host and path
+	}
+}
+
+func TestKeysNameTenantsAndRanks(t *testing.T) {
+	is := is.New(t)
+	first := 0
+	r := router.New(&server.Plan{
+		Routes:  []server.Route{{Name: "closed", Priority: 2}, {Name: "open", Public: true, Priority: 2}},
+		Tenants: []server.Tenant{{Name: "t", Keys: []string{"k1", "k2"}, Priority: &first}, {Name: "u", Keys: []string{"k3"}}},
+	})
+	closed, open := &r.Plan().Routes[0], &r.Plan().Routes[1]
+	tenant, ok := r.Tenant(closed, "k2")
+	is.True(ok)
+	is.Equal(tenant.Name, "t")
+	is.Equal(router.Priority(closed, tenant), 0)
+	tenant, ok = r.Tenant(closed, "k3")
+	is.True(ok)
+	is.Equal(router.Priority(closed, tenant), 2)
+	_, ok = r.Tenant(closed, "k")
+	is.True(!ok)
+	_, ok = r.Tenant(closed, "")
+	is.True(!ok)
+	_, ok = r.Tenant(open, "")
+	is.True(ok)
+}
+
+func TestSharesFollowTheirWeights(t *testing.T) {
+	is := is.New(t)
+	route := &server.Route{Shares: []server.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	counts := map[string]int{}
+	for i := range 10000 {
+		counts[router.Service(route, strconv.Itoa(i))]++
+	}
+	is.True(counts["a"] > 8700 && counts["a"] < 9300)
+	is.Equal(counts["a"]+counts["b"], 10000) // a weight of zero gets nothing
+	is.Equal(router.Service(route, "x"), router.Service(route, "x"))
+}
--- /dev/null
+++ b/internal/server/stager/stager.go
@@ -0,0 +1,227 @@
+// Package stager has the pieces of a request's stages made, in the order that
+// the stages need each other's results.
+package stager
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/batcher"
+)
+
+// maxRounds bounds how often a request's stages begin again after a result
+// was lost.
+const maxRounds = 3
+
+// Maker makes the pieces of one stage.
+type Maker interface {
+	Make(ctx context.Context, job *batcher.Job) (batcher.Result, error)
+	Release(service string, handles []string)
+}
+
+// Stager runs the stages of requests.
+type Stager struct {
+	log   logr.Logger
+	timer server.Timer
+	maker Maker
+}
+
+// New returns a Stager.
+func New(log logr.Logger, timer server.Timer, maker Maker) *Stager {
+	return &Stager{log: log, timer: timer, maker: maker}
+}
+
+// Request is what the stages of one request need.
+type Request struct {
+	ID       string
+	Stages   []server.StageSpec
+	Pieces   []int
+	Key      string
+	Priority int
+	// Datacentre is where the last results are needed.
+	Datacentre string
+	// Goal and Last are when the results must be there for the request to be on
+	// time, and to be of use at all.
+	Goal, Last time.Time
+	// Tail returns the time that the stages behind one usually take.
+	Tail func(stage int) time.Duration
+}
+
+// Results are those that the request itself needs.
+type Results struct {
+	handles []string
+	free    func()
+}
+
+// Handles returns the results, by stage and piece.
+func (r *Results) Handles() []string { return r.handles }
+
+// Free gives the results up. It may be called more than once.
+func (r *Results) Free() { r.free() }
+
+// Run makes all stages. Errors: ErrLate, ErrUnavailable, or the cause of ctx.
+func (s *Stager) Run(ctx context.Context, request *Request) (*Results, error) {
+	if err := check(request); err != nil {
+		return nil, err
+	}
+	for round := 1; ; round++ {
+		results, failing, err := s.round(ctx, request)
+		if err == nil || ctx.Err() != nil {
+			return results, err
+		}
+		again := failing == server.FailingGone && round < maxRounds && s.timer.Now().Before(request.Last)
+		s.log.Info("stages failed", "request", request.ID, "reason", string(failing), "round", round, "again", again, "cause", err.Error())
+		if !again {
+			return nil, err
+		}
+	}
+}
+
+// check refuses stages that need ones which do not exist or are not before them.
+func check(request *Request) error {
+	for i, stage := range request.Stages {
+		for _, after := range stage.After {
+			if after < 0 || after >= i {
+				return merry.Prependf(server.ErrInvalid, "stage %d follows stage %d", i, after)
+			}
+		}
+	}
+	if len(request.Pieces) > len(request.Stages) {
+		return merry.Prependf(server.ErrInvalid, "pieces for %d stages, the route has %d", len(request.Pieces), len(request.Stages))
+	}
+	return nil
+}
+
+// run is one round of a request's stages.
+type run struct {
+	stager  *Stager
+	request *Request
+	made    []chan struct{}
+	mu      sync.Mutex
+	handles [][]string
+	// needed counts the stages that still need a stage's results.
+	needed  []int
+	failing server.Failing
+}
+
+func (s *Stager) round(ctx context.Context, request *Request) (*Results, server.Failing, error) {
+	n := len(request.Stages)
+	r := &run{stager: s, request: request, made: make([]chan struct{}, n), handles: make([][]string, n), needed: make([]int, n)}
+	leaf := make([]bool, n)
+	for i := range n {
+		r.made[i] = make(chan struct{})
+		leaf[i] = true
+		for _, after := range request.Stages[i].After {
+			r.needed[after]++
+			leaf[after] = false
+		}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range n {
+		group.Go(func() error { return r.stage(ctx, i) })
+	}
+	if err := group.Wait(); err != nil {
+		r.freeAll()
+		return nil, r.failing, err
+	}
+	var last []string
+	for i := range n {
+		if leaf[i] {
+			last = append(last, r.handles[i]...)
+		}
+	}
+	return &Results{handles: last, free: sync.OnceFunc(r.freeAll)}, "", nil
+}
+
+// stage waits for what a stage needs and has its pieces made.
+func (r *run) stage(ctx context.Context, i int) error {
+	spec := &r.request.Stages[i]
+	for _, after := range spec.After {
+		select {
+		case <-r.made[after]:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	job := r.job(i)
+	if len(job.Pieces) > 0 {
+		result, err := r.stager.maker.Make(ctx, job)
+		if err != nil {
+			return err
+		}
+		if result.Failing != "" {
+			r.mu.Lock()
+			r.failing = result.Failing
+			r.mu.Unlock()
+			return cause(result.Failing, i)
+		}
+		r.mu.Lock()
+		r.handles[i] = result.Handles
+		r.mu.Unlock()
+	}
+	close(r.made[i])
+	for _, after := range spec.After {
+		r.release(after)
+	}
+	return nil
+}
+
+func cause(failing server.Failing, stage int) error {
+	if failing == server.FailingLate {
+		return merry.Prependf(server.ErrLate, "stage %d", stage)
+	}
+	return merry.Prependf(server.ErrUnavailable, "stage %d: %s", stage, failing)
+}
+
+func (r *run) job(i int) *batcher.Job {
+	spec := &r.request.Stages[i]
+	tail := r.request.Tail(i)
+	job := &batcher.Job{
+		Service: spec.Service, Request: r.request.ID, Stage: i, Datacentre: r.request.Datacentre, Bytes: spec.Bytes,
+		Priority: r.request.Priority, Goal: r.request.Goal.Add(-tail), Last: r.request.Last.Add(-tail),
+	}
+	if i < len(r.request.Pieces) {
+		for piece := range r.request.Pieces[i] {
+			job.Pieces = append(job.Pieces, piece)
+		}
+	}
+	if len(spec.After) == 0 {
+		job.Key = r.request.Key
+		return job
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, after := range spec.After {
+		job.Inputs = append(job.Inputs, r.handles[after]...)
+	}
+	return job
+}
+
+// release frees a stage's results when no other stage needs them.
+func (r *run) release(i int) {
+	r.mu.Lock()
+	r.needed[i]--
+	var handles []string
+	if r.needed[i] == 0 {
+		handles, r.handles[i] = r.handles[i], nil
+	}
+	r.mu.Unlock()
+	r.stager.maker.Release(r.request.Stages[i].Service, handles)
+}
+
+func (r *run) freeAll() {
+	r.mu.Lock()
+	all := slices.Clone(r.handles)
+	clear(r.handles)
+	r.mu.Unlock()
+	for i, handles := range all {
+		r.stager.maker.Release(r.request.Stages[i].Service, handles)
+	}
+}
