--- /dev/null
+++ b/internal/server/batcher/queue_test.go
@@ -0,0 +1,167 @@
+package batcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oriolemill.example/oriolemill/internal/server"
+)
+
+var start = time.Unix(1000, 0)
+
+// newTestQueue returns a queue of n replicas, alternating between two data centres.
+func newTestQueue(n int) *queue {
+	q := newQueue()
+	q.batch = server.Batch{Slots: 1, Queue: 2, Size: 14, Call: 150 * time.Millisecond, Item: 9 * time.Millisecond, Room: 81e6, Keep: 4 * time.Second}
+	for i := range n {
+		id := fmt.Sprintf("i-%d", i)
+		q.benches[id] = newBench(server.Replica{ID: id, Datacentre: []string{"east", "west"}[i%2]})
+	}
+	return q
+}
+
+func testTask(request string, pieces, priority int, goal, last time.Duration) *task {
+	job := &Job{Service: "s", Request: request, Priority: priority, Goal: start.Add(goal), Last: start.Add(last), Bytes: 1000}
+	for i := range pieces {
+		job.Pieces = append(job.Pieces, i)
+	}
+	return &task{Job: job, handles: make([]string, pieces), left: pieces, enqueued: start, done: func(Result) {}}
+}
+
+func requests(c *call) string {
+	text := ""
+	for _, i := range c.items {
+		text += i.task.Request
+	}
+	return text
+}
+
+func TestCallsAreFilledFromManyRequests(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(1)
+	for i := range 20 {
+		q.add(testTask(string(rune('a'+i)), 1, 1, time.Second, 8*time.Second))
+	}
+	c, _ := q.next(start)
+	is.Equal(requests(c), "abcdefghijklmn")
+	c2, _ := q.next(start)
+	is.True(c2 == nil) // the only replica is busy
+	q.finish(c)
+	c, _ = q.next(start.Add(300 * time.Millisecond))
+	is.Equal(requests(c), "opqrst")
+}
+
+func TestOrderIsOnTimeThenRankThenDue(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(1)
+	q.batch.Size = 4
+	q.add(testTask("l", 1, 0, 50*time.Millisecond, 8*time.Second)) // late anyway
+	q.add(testTask("c", 1, 2, 400*time.Millisecond, 8*time.Second))
+	q.add(testTask("b", 1, 1, 900*time.Millisecond, 8*time.Second))
+	q.add(testTask("a", 1, 1, 800*time.Millisecond, 8*time.Second))
+	q.add(testTask("d", 1, 2, 500*time.Millisecond, 8*time.Second))
+	c, _ := q.next(start)
+	is.Equal(requests(c), "abcd")
+}
+
+func TestUselessPiecesLeaveAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(1)
+	q.add(testTask("a", 2, 1, 0, 100*time.Millisecond)) // a call takes longer
+	c, hopeless := q.next(start)
+	is.True(c == nil)
+	is.Equal(len(hopeless), 2)
+	is.Equal(len(q.items), 0)
+}
+
+func TestRoomBoundsACall(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(1)
+	task := testTask("a", 14, 1, time.Second, 8*time.Second)
+	task.Bytes = 20e6
+	q.add(task)
+	c, _ := q.next(start)
+	is.Equal(len(c.items), 4) // of 81 MB
+	b := c.bench
+	q.finish(c)
+	is.Equal(b.used, int64(0))
+	b.results["h"] = result{bytes: 70e6, expires: start.Add(time.Second)}
+	b.used = 70e6
+	c, _ = q.next(start)
+	is.True(c == nil)
+	c, _ = q.next(start.Add(2 * time.Second)) // the result has expired
+	is.Equal(len(c.items), 4)
+}
+
+func TestPiecesWaitForTheirDataCentreForAWhile(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(2)
+	q.benches["i-0"].calls = 1 // east is busy
+	q.benches["i-0"].free = start.Add(50 * time.Millisecond)
+	task := testTask("a", 1, 1, time.Second, 8*time.Second)
+	task.Datacentre = "east"
+	q.add(task)
+	c, _ := q.next(start)
+	is.True(c == nil)
+	c, _ = q.next(start.Add(patience))
+	is.Equal(c.bench.ID, "i-1")
+}
+
+func TestASlowReplicaIsUsedOnlyWhenThatIsSooner(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(2)
+	q.benches["i-0"].pace = 5
+	q.benches["i-1"].calls = 1
+	q.benches["i-1"].free = start.Add(100 * time.Millisecond)
+	q.add(testTask("a", 1, 1, time.Second, 8*time.Second))
+	c, _ := q.next(start)
+	is.True(c == nil) // the fast one is sooner, though busy
+	q.benches["i-1"].free = start.Add(3 * time.Second)
+	c, _ = q.next(start)
+	is.Equal(c.bench.ID, "i-0")
+}
+
+func TestAReplicaThatLeavesGetsNoCall(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(1)
+	q.benches["i-0"].gone = true
+	q.add(testTask("a", 1, 1, time.Second, 8*time.Second))
+	c, _ := q.next(start)
+	is.True(c == nil)
+}
+
+// TestSaturatedServiceMakesFullCalls holds pieces a second to 0.95 of what full
+// calls allow, under a steady flood.
+func TestSaturatedServiceMakesFullCalls(t *testing.T) {
+	is := is.New(t)
+	const replicas = 5
+	q := newTestQueue(replicas)
+	running := map[*call]time.Time{}
+	made := 0
+	const length = 20 * time.Second
+	for at := time.Duration(0); at < length; at += time.Millisecond {
+		now := start.Add(at)
+		if at%(3*time.Millisecond) == 0 { // 333 requests a second, over capacity
+			q.add(testTask("a", 1, 1, at+time.Second, at+2*time.Second))
+		}
+		for c, end := range running {
+			if !now.Before(end) {
+				made += len(c.items)
+				q.finish(c)
+				delete(running, c)
+			}
+		}
+		for {
+			c, _ := q.next(now)
+			if c == nil {
+				break
+			}
+			running[c] = now.Add(q.batch.Span(len(c.items)))
+		}
+	}
+	full := float64(replicas*q.batch.Size) / q.batch.Span(q.batch.Size).Seconds()
+	is.True(float64(made)/length.Seconds() > 0.95*full)
+}
--- a/internal/server/chooser/chooser.go
+++ b/internal/server/chooser/chooser.go
@@ -31,10 +31,10 @@
 	spreadFactor = 2
 	// fullShare is the part of an engine's slots from which affinity yields.
 	fullShare = 0.7
-	// stalledFactor and stalledMin say when a request without an answer's
+	// stalledFactor and stalledLeast say when a request without an answer's
 	// beginning speaks against its replica.
 	stalledFactor = 6
-	stalledMin    = time.Second
+	stalledLeast  = time.Second
 	// headGain is the weight of the newest time to an answer's beginning.
 	headGain = 0.1
 	// forgetAfter is when a replica that is not listed any more is forgotten.
@@ -182,7 +182,7 @@
 // stalled reports whether requests wait at the replica for much longer than
 // the service usually takes.
 func (c *Chooser) stalled(g *gauge, service string, now time.Time) bool {
-	bound := max(stalledFactor*c.heads[service], stalledMin)
+	bound := max(stalledFactor*c.heads[service], stalledLeast)
 	for _, use := range g.pending {
 		if !use.headed && now.Sub(use.began) > bound {
 			return true
--- a/internal/server/dialer/conn.go
+++ b/internal/server/dialer/conn.go
@@ -62,7 +62,7 @@
 	return err == nil && quiet
 }
 
-// Write sends a request whole. A path is sent byte for byte as it was received.
+// Send sends a request whole. A path is sent byte for byte as it was received.
 func (c *Conn) Send(method, target, host string, header http.Header, body []byte) error {
 	writer := bufio.NewWriterSize(c.Conn, readBuffer)
 	_, _ = fmt.Fprintf(writer, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target, host)
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -74,7 +74,9 @@
 	}
 	detach := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	written := make(chan error, 1)
-	go func() { written <- conn.Send(request.Method, request.Target, request.Host, request.Header, request.Body) }()
+	go func() {
+		written <- conn.Send(request.Method, request.Target, request.Host, request.Header, request.Body)
+	}()
 	response, err := conn.Answer(request.Method, request.ID, func(r *http.Response) string { return x.wire.Head(r.StatusCode, r.Header).ID })
 	if err != nil {
 		detach()
--- a/internal/server/recorder/recorder.go
+++ b/internal/server/recorder/recorder.go
@@ -30,8 +30,9 @@
 	pending []byte
 	credit  float64
 	at      time.Time
+	// armed is set while a flush is due or at work, so that a blocked output
+	// holds at most one goroutine.
 	armed   bool
-	writing sync.Mutex
 	lines   atomic.Uint64
 	bytes   atomic.Uint64
 	dropped atomic.Uint64
@@ -58,26 +59,38 @@
 	r.pending = append(r.pending, line...)
 	r.lines.Add(1)
 	r.bytes.Add(uint64(len(line)))
+	r.arm()
+	return len(line), nil
+}
+
+// arm has what is pending written after a while; mu is held.
+func (r *Recorder) arm() {
 	if !r.armed {
 		r.armed = true
-		r.timer.After(flushWait, func(time.Time) { go r.Flush() })
+		r.timer.After(flushWait, func(time.Time) { go r.flush() })
+	}
+}
+
+func (r *Recorder) flush() {
+	r.Flush()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.armed = false; len(r.pending) > 0 {
+		r.arm()
 	}
-	return len(line), nil
 }
 
 // Flush writes what is pending.
 func (r *Recorder) Flush() {
-	r.writing.Lock()
-	defer r.writing.Unlock()
 	r.mu.Lock()
 	pending := r.pending
-	r.pending, r.armed = nil, false
-	r.mu.Unlock()
+	r.pending = nil
 	if dropped := r.dropped.Load(); dropped > r.told {
 		pending = fmt.Appendf(pending, "{\"time\":%q,\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n",
 			r.timer.Now().Format(time.RFC3339Nano), dropped-r.told)
 		r.told = dropped
 	}
+	r.mu.Unlock()
 	if len(pending) > 0 {
 		// Standard output has no other place to report its own failure to.
 		_, _ = r.out.Write(pending)
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 )
 
@@ -220,18 +219,22 @@
 	Failing Failing
 }
 
+// Header holds the headers of a request or answer by canonical name, as
+// http.Header does: decisions import no transport.
+type Header = map[string][]string
+
 // Wire translates between the HTTP of clients and upstreams and these types.
 type Wire interface {
 	// Read returns what a client's headers say.
-	Read(header http.Header) (Traits, error)
+	Read(header Header) (Traits, error)
 	// Outgoing returns the headers for an upstream.
-	Outgoing(header http.Header, send Send) http.Header
+	Outgoing(header Header, send Send) Header
 	// Head reads an upstream's answer.
-	Head(status int, header http.Header) Head
+	Head(status int, header Header) Head
 	// Incoming returns the headers for the client.
-	Incoming(header http.Header) http.Header
+	Incoming(header Header) Header
 	// CallHeader returns the headers of a call to a replica.
-	CallHeader(replica string) http.Header
+	CallHeader(replica string) Header
 	// PiecesCall returns path and body of a call that makes pieces.
 	PiecesCall(pieces []Piece) (path string, body []byte, err error)
 	// PiecesAnswer reads the answer to a call of n pieces.
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -130,12 +131,12 @@
 	case errors.Is(context.Cause(f.ctx), context.Canceled):
 		return f.leave("the client left before the stages were done")
 	case f.begun:
-		f.abort, f.outcome, f.reason = true, "broken", "the stages were not made again: "+err.Error()
+		f.abort, f.outcome, f.reason = true, outcomeBroken, "the stages were not made again: "+err.Error()
 		return false
 	case f.mayRun:
-		return f.fail(502, "the stages were not made again: "+err.Error())
+		return f.fail(http.StatusBadGateway, "the stages were not made again: "+err.Error())
 	case errors.Is(err, server.ErrInvalid):
-		return f.reject(400, err.Error())
+		return f.reject(http.StatusBadRequest, err.Error())
 	case errors.Is(err, server.ErrLate):
 		return f.refuse("the stages cannot end in time", f.again())
 	default:
--- a/internal/server/relayer/answer.go
+++ b/internal/server/relayer/answer.go
@@ -179,7 +179,7 @@
 func (f *flow) write(status int, header http.Header, body []byte) {
 	f.copyHeader(header)
 	f.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	f.status, f.outcome = status, "answered"
+	f.status, f.outcome = status, outcomeAnswered
 	f.reason = ""
 	f.head(status)
 	_, err := f.w.Write(body)
@@ -206,7 +206,7 @@
 	if answer.ContentLength >= 0 {
 		f.w.Header().Set("Content-Length", strconv.FormatInt(answer.ContentLength, 10))
 	}
-	f.status, f.outcome = answer.StatusCode, "answered"
+	f.status, f.outcome = answer.StatusCode, outcomeAnswered
 	f.head(answer.StatusCode)
 	if _, err := f.w.Write(begin); err != nil {
 		answer.Close(false)
@@ -216,7 +216,7 @@
 	_, err := io.Copy(f.w, answer.Body)
 	answer.Close(err == nil)
 	if err != nil {
-		f.abort, f.outcome, f.reason = true, "broken", "the answer broke off: "+err.Error()
+		f.abort, f.outcome, f.reason = true, outcomeBroken, "the answer broke off: "+err.Error()
 	}
 	return fateWhole
 }
@@ -278,7 +278,7 @@
 	if !f.begun && !f.emit(answer, nil) {
 		return fateGone
 	}
-	f.outcome, f.reason = "answered", ""
+	f.outcome, f.reason = outcomeAnswered, ""
 	return fateWhole
 }
 
--- a/internal/server/relayer/flow.go
+++ b/internal/server/relayer/flow.go
@@ -6,11 +6,8 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/registrar"
 	"oriolemill.example/oriolemill/internal/server/router"
@@ -34,6 +31,16 @@
 	maxPatience = time.Minute
 )
 
+// Outcomes of requests, in lines and counters.
+const (
+	outcomeAnswered = "answered"
+	outcomeRefused  = "refused"
+	outcomeRejected = "rejected"
+	outcomeFailed   = "failed"
+	outcomeBroken   = "broken"
+	outcomeLeft     = "left"
+)
+
 // flow is one request on its way.
 type flow struct {
 	*Relayer
@@ -198,7 +205,7 @@
 	case actPass:
 		f.pass()
 	case actAbort:
-		f.abort, f.outcome = true, "broken"
+		f.abort, f.outcome = true, outcomeBroken
 	case actEnd:
 	}
 	return false
@@ -208,7 +215,7 @@
 func (f *flow) exhausted() {
 	switch {
 	case f.begun:
-		f.abort, f.outcome, f.reason = true, "broken", "no other replica can go on"
+		f.abort, f.outcome, f.reason = true, outcomeBroken, "no other replica can go on"
 	case f.passed != nil:
 		f.pass()
 	case f.mayRun:
@@ -223,18 +230,18 @@
 // refuse tells the client that the request did not run, and when to come back.
 func (f *flow) refuse(reason string, wait time.Duration) bool {
 	f.w.Header().Set("Retry-After", strconv.FormatFloat(max(wait, minWait).Seconds(), 'f', 2, 64))
-	return f.end(http.StatusServiceUnavailable, "refused", reason)
+	return f.end(http.StatusServiceUnavailable, outcomeRefused, reason)
 }
 
 // reject tells the client that its request is wrong.
-func (f *flow) reject(status int, reason string) bool { return f.end(status, "rejected", reason) }
+func (f *flow) reject(status int, reason string) bool { return f.end(status, outcomeRejected, reason) }
 
 // fail tells the client a failure that promises nothing.
-func (f *flow) fail(status int, reason string) bool { return f.end(status, "failed", reason) }
+func (f *flow) fail(status int, reason string) bool { return f.end(status, outcomeFailed, reason) }
 
 // leave ends a request whose client left.
 func (f *flow) leave(reason string) bool {
-	f.outcome, f.reason, f.abort = "left", reason, true
+	f.outcome, f.reason, f.abort = outcomeLeft, reason, true
 	return false
 }
 
@@ -270,7 +277,7 @@
 // wrote notes a write that did not reach the client.
 func (f *flow) wrote(err error) {
 	if err != nil {
-		f.outcome, f.reason, f.abort = "left", "the client did not take the answer: "+err.Error(), true
+		f.outcome, f.reason, f.abort = outcomeLeft, "the client did not take the answer: "+err.Error(), true
 	}
 }
 
@@ -294,8 +301,3 @@
 		"attempts", f.attempts, "tries", f.tries, "took_ms", took.Milliseconds(), "staged_ms", f.staged.Milliseconds(),
 		"first_ms", f.first.Milliseconds(), "last_event", f.events.last)
 }
-
-// reasonOf puts an error into words for the log and the client.
-func reasonOf(err error) string {
-	return strings.TrimSpace(merry.UserMessage(err) + " " + err.Error())
-}
--- a/internal/server/relayer/verdict_test.go
+++ b/internal/server/relayer/verdict_test.go
@@ -42,9 +42,9 @@
 	if again {
 		is.True(proven || s.repeatable) // nothing runs twice that may not
 		is.True(s.time && s.tries > 0)
-		is.True(v.budget || f == fateUnsent)                                     // each arrival beyond the first is paid for
-		is.True(s.attempts > 0 || f == fateUnsent || f == fateMisdirected)       // no more replicas than allowed
-		is.True(f != fateWhole && f != fateGone && f != fateLate)                // ended requests stay ended
+		is.True(v.budget || f == fateUnsent)                               // each arrival beyond the first is paid for
+		is.True(s.attempts > 0 || f == fateUnsent || f == fateMisdirected) // no more replicas than allowed
+		is.True(f != fateWhole && f != fateGone && f != fateLate)          // ended requests stay ended
 	}
 	if a == actFail {
 		is.True(v.status == http.StatusBadGateway || v.status == http.StatusGatewayTimeout) // promises nothing
