--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -22,8 +22,6 @@
 	overdueExtra  = 250 * time.Millisecond
 	// fullWait is how long a replica that was full gets no call.
 	fullWait = 40 * time.Millisecond
-	// roomWait is how long a replica without room gets no call.
-	roomWait = 60 * time.Millisecond
 	// firstBlock and lastBlock bound how long a failing replica gets no call.
 	firstBlock = 300 * time.Millisecond
 	lastBlock  = 3 * time.Second
@@ -195,18 +193,18 @@
 	o.dispatch(s)
 }
 
-// Waits returns the expected waits at a service by rank.
-func (o *Owner) Waits(service string, ranks int) []time.Duration {
+// Until returns the expected times until a new piece is made, by rank.
+func (o *Owner) Until(service string, ranks int) []time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	waits := make([]time.Duration, ranks)
+	times := make([]time.Duration, ranks)
 	if s := o.shops[service]; s != nil {
 		now := o.timer.Now()
-		for rank := range waits {
-			waits[rank] = s.queue.wait(rank, now)
+		for rank := range times {
+			times[rank] = s.queue.until(rank, now)
 		}
 	}
-	return waits
+	return times
 }
 
 // Release frees results.
@@ -338,6 +336,7 @@
 	} else {
 		c.bench.failures = 0
 		c.bench.timed(now.Sub(began), s.queue.batch.Span(len(c.items)))
+		s.queue.took(now.Sub(began))
 		o.made(s, c, made, now)
 	}
 	o.dispatch(s)
@@ -345,7 +344,7 @@
 
 // made hands out the results of a call; mu is held.
 func (o *Owner) made(s *shop, c *call, made []server.Made, now time.Time) {
-	var again []*item
+	var again, noRoom []*item
 	for n, i := range c.items {
 		t := i.task
 		switch {
@@ -353,8 +352,7 @@
 			o.keep(s, c.bench, i, made[n].Handle, now)
 		case made[n].Failing == server.FailingRoom:
 			o.counts.Room++
-			c.bench.blocked = now.Add(roomWait)
-			again = append(again, i)
+			noRoom = append(noRoom, i)
 		case made[n].Failing == server.FailingError:
 			o.counts.Failed++
 			again = append(again, i)
@@ -364,7 +362,11 @@
 			o.end(s, t, made[n].Failing)
 		}
 	}
-	o.again(s, again, "not made")
+	if len(noRoom) > 0 {
+		c.bench.full(s.queue.batch.Room, now)
+		o.log.Info("replica had no room", "service", s.name, "replica", c.bench.ID, "pieces", len(noRoom), "used", c.bench.used, "room", s.queue.batch.Room)
+	}
+	o.again(s, append(again, noRoom...), "not made")
 }
 
 // keep notes a result and ends its task when it was the last.
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -17,6 +17,15 @@
 	slowFactor = 1.8
 	// paceGain is the weight of the newest call in a replica's pace.
 	paceGain = 0.4
+	// lateWait is how long a piece that cannot be on time any more waits for a
+	// replica that nothing on time needs. After that the service is saturated.
+	lateWait = 400 * time.Millisecond
+	// spanGain is the weight of the newest call in a service's usual time.
+	spanGain = 0.15
+	// foreignHalf is the time in which room that others are believed to take halves.
+	foreignHalf = 150 * time.Millisecond
+	// usualFill is the part of a call that is taken as filled before any was made.
+	usualFill = 0.5
 	// minPace and maxPace bound what one call says of a replica.
 	minPace, maxPace = 0.3, 12
 )
@@ -33,6 +42,10 @@
 	// used is the room that results take, by handle with their sizes.
 	used    int64
 	results map[string]result
+	// foreign is room that results of another owner are believed to take, as
+	// of foreignAt.
+	foreign   int64
+	foreignAt time.Time
 	// blocked is until when the replica gets no call.
 	blocked  time.Time
 	failures int
@@ -75,6 +88,21 @@
 	return ok
 }
 
+// full notes that the replica had no room for a piece.
+func (b *bench) full(room int64, now time.Time) {
+	b.foreign = max(room-b.used, 0)
+	b.foreignAt = now
+}
+
+// room returns the room that is believed to be left.
+func (b *bench) room(room int64, now time.Time) int64 {
+	if b.foreign > 0 {
+		halves := now.Sub(b.foreignAt) / foreignHalf
+		return room - b.used - b.foreign>>min(halves, 62)
+	}
+	return room - b.used
+}
+
 // span is the expected time of a call with n pieces.
 func (b *bench) span(batch *server.Batch, n int) time.Duration {
 	return time.Duration(b.pace * float64(batch.Span(n)))
@@ -87,6 +115,8 @@
 	items   []*item
 	benches map[string]*bench
 	numbers uint64
+	// usual is the time that calls usually take; zero before the first.
+	usual time.Duration
 }
 
 func newQueue() *queue { return &queue{benches: make(map[string]*bench)} }
@@ -139,7 +169,7 @@
 	for _, i := range q.items {
 		switch {
 		case i.task.ended:
-		case now.Add(shortest).After(i.task.Last):
+		case now.Add(shortest).After(i.task.Last), i.waitedLate(now, shortest):
 			hopeless = append(hopeless, i)
 		default:
 			kept = append(kept, i)
@@ -150,6 +180,15 @@
 	return hopeless
 }
 
+// waitedLate reports whether a piece that is late anyway has waited for long.
+func (i *item) waitedLate(now time.Time, shortest time.Duration) bool {
+	since := i.task.Goal.Add(-shortest)
+	if since.Before(i.task.enqueued) {
+		since = i.task.enqueued
+	}
+	return now.Sub(since) > lateWait
+}
+
 // shortest is the time of a call with one piece at the best replica.
 func (q *queue) shortest() time.Duration {
 	pace := 0.0
@@ -250,7 +289,7 @@
 // fill chooses pieces for a replica, within the size of a call and its room.
 func (q *queue) fill(b *bench, places map[string]bool, now time.Time) []*item {
 	var items []*item
-	room := q.batch.Room - b.used
+	room := b.room(q.batch.Room, now)
 	for _, i := range q.items {
 		if len(items) == q.batch.Size {
 			break
@@ -290,27 +329,46 @@
 	}
 }
 
-// wait estimates how long a new piece of a rank waits before its call begins.
-func (q *queue) wait(priority int, now time.Time) time.Duration {
-	live := 0
-	var busy time.Duration
-	var perPiece float64
+// until estimates how long it takes until a new piece of a rank is made: the
+// pieces that are on time and go before it, and a call.
+func (q *queue) until(priority int, now time.Time) time.Duration {
+	usual := q.usual
+	if usual == 0 {
+		usual = q.batch.Span(int(usualFill * float64(q.batch.Size)))
+	}
+	next := time.Duration(-1)
+	var perSecond float64
 	for _, b := range q.benches {
 		if b.gone || now.Before(b.blocked) {
 			continue
 		}
-		live++
-		busy += max(b.free.Sub(now), 0)
-		perPiece += float64(q.batch.Size) / float64(max(b.span(&q.batch, q.batch.Size), time.Millisecond))
+		wait := time.Duration(0)
+		if b.calls >= q.batch.Slots {
+			wait = max(b.free.Sub(now), 0)
+		}
+		if next < 0 || wait < next {
+			next = wait
+		}
+		perSecond += float64(q.batch.Size) / max(b.span(&q.batch, q.batch.Size), time.Millisecond).Seconds()
 	}
-	if live == 0 {
-		return q.batch.Span(q.batch.Size)
+	if next < 0 {
+		return 2 * usual
 	}
+	soon := now.Add(q.shortest())
 	ahead := 0
 	for _, i := range q.items {
-		if i.task.Priority <= priority {
+		if i.task.Priority <= priority && !soon.After(i.task.Goal) {
 			ahead++
 		}
 	}
-	return busy/time.Duration(live*live) + time.Duration(float64(ahead)/perPiece)
+	return next + time.Duration(float64(ahead)/perSecond*float64(time.Second)) + usual
+}
+
+// took learns from a call's time.
+func (q *queue) took(span time.Duration) {
+	if q.usual == 0 {
+		q.usual = span
+		return
+	}
+	q.usual += time.Duration(spanGain * float64(span-q.usual))
 }
--- a/internal/server/batcher/sharer.go
+++ b/internal/server/batcher/sharer.go
@@ -16,10 +16,10 @@
 	maxOwners = 4
 	// releaseWait gathers results to release at their owner.
 	releaseWait = 15 * time.Millisecond
-	// ranks is the number of priorities that waits are told for.
+	// ranks is the number of priorities that times are told for.
 	ranks = 4
-	// waitsFresh is how long told waits are believed.
-	waitsFresh = 700 * time.Millisecond
+	// untilFresh is how long told times are believed.
+	untilFresh = 700 * time.Millisecond
 	// withdrawTimeout bounds a message to an owner that nobody waits for.
 	withdrawTimeout = time.Second
 )
@@ -41,18 +41,19 @@
 	mu       sync.Mutex
 	releases map[string][]string
 	armed    bool
-	waits    map[string]waits
+	told     map[string]told
 }
 
-// waits are the expected waits at a service by rank, as its owner told.
-type waits struct {
+// told are the expected times until a piece is made, by rank, as the service's
+// owner told.
+type told struct {
 	ranks []time.Duration
 	at    time.Time
 }
 
 // NewSharer returns a Sharer; owner serves the services that are this instance's.
 func NewSharer(log logr.Logger, timer server.Timer, links Links, owner *Owner) *Sharer {
-	return &Sharer{log: log, timer: timer, links: links, owner: owner, releases: make(map[string][]string), waits: make(map[string]waits)}
+	return &Sharer{log: log, timer: timer, links: links, owner: owner, releases: make(map[string][]string), told: make(map[string]told)}
 }
 
 // Make returns the results of a job. The error is set when no owner answered or
@@ -78,7 +79,7 @@
 func (s *Sharer) local(ctx context.Context, job *Job) (Result, error) {
 	done := make(chan Result, 1)
 	s.owner.Submit(job, func(r Result) { done <- r })
-	s.note(job.Service, s.owner.Waits(job.Service, ranks))
+	s.note(job.Service, s.owner.Until(job.Service, ranks))
 	select {
 	case result := <-done:
 		return result, nil
@@ -117,11 +118,11 @@
 		return Result{}, err
 	}
 	made := answer.GetMade()
-	told := make([]time.Duration, len(made.GetWaitsMs()))
-	for rank, ms := range made.GetWaitsMs() {
-		told[rank] = time.Duration(ms) * time.Millisecond
+	times := make([]time.Duration, len(made.GetUntilMs()))
+	for rank, ms := range made.GetUntilMs() {
+		times[rank] = time.Duration(ms) * time.Millisecond
 	}
-	s.note(job.Service, told)
+	s.note(job.Service, times)
 	return Result{Handles: made.GetHandles(), Failing: server.Failing(made.GetFailing())}, nil
 }
 
@@ -155,8 +156,8 @@
 	case <-ctx.Done():
 		answer.Failing = string(server.FailingError)
 	}
-	for _, wait := range s.owner.Waits(job.Service, ranks) {
-		answer.WaitsMs = append(answer.WaitsMs, uint32(wait.Milliseconds()))
+	for _, until := range s.owner.Until(job.Service, ranks) {
+		answer.UntilMs = append(answer.UntilMs, uint32(until.Milliseconds()))
 	}
 	return &encoder.Frame{Body: &encoder.Frame_Made{Made: answer}}
 }
@@ -195,24 +196,24 @@
 	}
 }
 
-func (s *Sharer) note(service string, told []time.Duration) {
-	if len(told) == 0 {
+func (s *Sharer) note(service string, times []time.Duration) {
+	if len(times) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.waits[service] = waits{ranks: told, at: s.timer.Now()}
+	s.told[service] = told{ranks: times, at: s.timer.Now()}
 }
 
-// Wait returns the expected wait at a service for a rank, as last told, and
-// its age; zero when it is not known.
-func (s *Sharer) Wait(service string, priority int) (wait, age time.Duration) {
+// Until returns the expected time until a piece of a rank is made at a service,
+// as last told, and its age; ok is false when it is not known.
+func (s *Sharer) Until(service string, priority int) (until, age time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w, ok := s.waits[service]
-	age = s.timer.Now().Sub(w.at)
-	if !ok || age > waitsFresh {
-		return 0, age
+	t, ok := s.told[service]
+	age = s.timer.Now().Sub(t.at)
+	if !ok || age > untilFresh {
+		return 0, age, false
 	}
-	return w.ranks[min(priority, len(w.ranks)-1)], age
+	return t.ranks[min(priority, len(t.ranks)-1)], age, true
 }
--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -97,7 +97,7 @@
 	i.chooser = chooser.New(timer)
 	i.relayer = relayer.New(relayer.Parts{
 		Log: log, Timer: timer, View: i.registrar.View, Wire: adapter.Wire, Chooser: i.chooser, Exchanger: exchanges,
-		Stager: stager.New(log, timer, i.sharer), Budget: budget, Waits: i.sharer, Meter: i.meter,
+		Stager: stager.New(log, timer, i.sharer), Budget: budget, Estimates: i.sharer, Meter: i.meter,
 	})
 	i.fronter = fronter.New(log, sockets.clients, i.relayer)
 	i.count()
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -25,53 +25,96 @@
 	enginePerToken = 9 * time.Microsecond
 	// perOutput is what an engine usually takes for a token.
 	perOutput = 6 * time.Millisecond
-	// stageExtra is the part of a call that a piece usually waits for another.
-	stageExtra = 0.5
+	// stageExtra stretches a call by what a piece usually waits for the one before.
+	stageExtra = 1.2
+	// queuedLeast is the wait in queues below which late requests are taken too.
+	queuedLeast = 150 * time.Millisecond
+	// minBack is the shortest time after which a request that was refused for
+	// want of capacity is told to come back.
+	minBack = 500 * time.Millisecond
+	// firstMargin is left of a client's patience for the way of the first event.
+	firstMargin = 100 * time.Millisecond
 	// stageFill is the part of a call's size that is usually filled.
 	stageFill = 0.5
 )
 
-// admit refuses at once what cannot be served in time.
+// admit refuses at once what cannot be served in time, and what would only be
+// late while the stage services have no time to spare.
 func (f *flow) admit() bool {
 	f.Budget.Requested(f.service, 1)
 	if len(f.view.Replicas(f.service)) == 0 {
 		return f.refuse("no replica of the service is registered", refusedWait)
 	}
-	expected := f.expected()
-	if f.left() >= expected {
+	expected, queued, age := f.expected()
+	now := f.Timer.Now()
+	late := now.Add(expected).Sub(f.goal)
+	useless := now.Add(expected).After(f.last())
+	if !useless && (late <= 0 || queued < queuedLeast) {
 		return true
 	}
-	f.Log.Info("refused on arrival", "request", f.traits.ID, "route", f.route.Name, "priority", f.priority,
-		"expected_ms", expected.Milliseconds(), "left_ms", f.left().Milliseconds())
-	return f.refuse("it cannot end in time", expected-f.left())
+	f.Log.Info("refused on arrival", "request", f.traits.ID, "route", f.route.Name, "priority", f.priority, "expected_ms", expected.Milliseconds(),
+		"queued_ms", queued.Milliseconds(), "estimate_age_ms", age.Milliseconds(), "late_ms", late.Milliseconds(), "left_ms", f.left().Milliseconds())
+	return f.refuse("it cannot be answered in time now", max(queued, minBack))
 }
 
-// expected estimates the time to the end of the request's critical path.
-func (f *flow) expected() time.Duration {
-	ends := make([]time.Duration, len(f.route.Stages))
-	var longest time.Duration
-	for i, stage := range f.route.Stages {
+// last is when the first byte of the answer must be there to be of use.
+func (f *flow) last() time.Time {
+	if f.route.Kind != server.KindStream {
+		return f.deadline
+	}
+	output := f.traits.Output
+	if f.traits.Expected > 0 {
+		output = min(output, f.traits.Expected)
+	}
+	last := f.deadline.Add(-time.Duration(output) * perOutput)
+	if leaves := f.arrived.Add(firstEvent(f.route) - firstMargin); leaves.Before(last) {
+		return leaves
+	}
+	return last
+}
+
+// expected estimates the time to the first byte of the answer along the
+// request's critical path, the part of it that is queueing, and the age of the
+// oldest estimate in it.
+func (f *flow) expected() (total, queued, age time.Duration) {
+	stages := f.route.Stages
+	ends, waits := make([]time.Duration, len(stages)), make([]time.Duration, len(stages))
+	for i, stage := range stages {
 		for _, after := range stage.After {
-			if after >= 0 && after < i {
-				ends[i] = max(ends[i], ends[after])
+			if after >= 0 && after < i && ends[after] > ends[i] {
+				ends[i], waits[i] = ends[after], waits[after]
 			}
 		}
 		if i < len(f.traits.Pieces) && f.traits.Pieces[i] > 0 {
-			wait, _ := f.Waits.Wait(stage.Service, f.priority)
-			ends[i] += wait + f.call(stage.Service)
+			until, old := f.until(stage.Service)
+			ends[i] += until
+			waits[i] += max(until-f.call(stage.Service), 0)
+			age = max(age, old)
+		}
+		if ends[i] > total {
+			total, queued = ends[i], waits[i]
 		}
-		longest = max(longest, ends[i])
 	}
-	return longest + f.engine()
+	return total + f.engine(), queued, age
+}
+
+// until is the expected time until a piece is made at a service.
+func (f *flow) until(service string) (until, age time.Duration) {
+	until, age, ok := f.Estimates.Until(service, f.priority)
+	if !ok {
+		return f.call(service), 0
+	}
+	return until, age
 }
 
-// call is the time of a call of a stage service as the plan states it.
+// call is the time of a call of a stage service as the plan states it, with the
+// usual wait for the call before.
 func (f *flow) call(service string) time.Duration {
 	batch := f.view.Router().Plan().Backends[service].Batch
 	if batch == nil {
 		return 0
 	}
-	return batch.Span(int(stageFill * float64(batch.Size)))
+	return time.Duration(stageExtra * float64(batch.Span(int(stageFill*float64(batch.Size)))))
 }
 
 // engine is the time that an engine usually takes to the first token.
@@ -87,8 +130,7 @@
 	var longest time.Duration
 	for next := stage + 1; next < len(f.route.Stages); next++ {
 		if slices.Contains(f.route.Stages[next].After, stage) {
-			own := time.Duration((1 + stageExtra) * float64(f.call(f.route.Stages[next].Service)))
-			longest = max(longest, own+f.tail(next)-f.engine())
+			longest = max(longest, f.call(f.route.Stages[next].Service)+f.tail(next)-f.engine())
 		}
 	}
 	return longest + f.engine()
@@ -108,13 +150,9 @@
 	if target, ok := f.choose(); ok {
 		place = target.Datacentre
 	}
-	output := f.traits.Output
-	if f.traits.Expected > 0 {
-		output = min(output, f.traits.Expected)
-	}
 	results, err := f.Stager.Run(f.ctx, &stager.Request{
 		ID: f.traits.ID, Stages: f.route.Stages, Pieces: f.traits.Pieces, Key: f.traits.PieceKey, Priority: f.priority,
-		Datacentre: place, Goal: f.arrived.Add(f.route.Goal), Last: f.deadline.Add(-time.Duration(output) * perOutput), Tail: f.tail,
+		Datacentre: place, Goal: f.goal, Last: f.last(), Tail: f.tail,
 	})
 	f.staged += f.Timer.Now().Sub(began)
 	f.Meter.Staged(f.route.Name, f.staged)
@@ -158,8 +196,8 @@
 	wait := refusedWait
 	for i, stage := range f.route.Stages {
 		if i < len(f.traits.Pieces) && f.traits.Pieces[i] > 0 {
-			told, _ := f.Waits.Wait(stage.Service, f.priority)
-			wait = max(wait, told)
+			until, _ := f.until(stage.Service)
+			wait = max(wait, until)
 		}
 	}
 	return wait
--- a/internal/server/relayer/flow.go
+++ b/internal/server/relayer/flow.go
@@ -56,6 +56,8 @@
 	service  string
 	body     []byte
 	arrived  time.Time
+	// goal is when the answer, of streams the first event, is on time.
+	goal     time.Time
 	deadline time.Time
 	timeUp   func()
 	results  *stager.Results
@@ -120,6 +122,7 @@
 	}
 	f.priority = router.Priority(f.route, f.tenant)
 	f.service = router.Service(f.route, f.traits.ID)
+	f.goal = f.arrived.Add(f.route.Goal - f.Relayer.patience.elapsed(f.route.Name, f.traits.Patience))
 	patience := maxPatience
 	for _, bound := range [...]time.Duration{f.traits.Patience, f.route.Timeout} {
 		if bound > 0 {
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -22,9 +22,10 @@
 	Spend(service string, n int) bool
 }
 
-// Waits tells how long new pieces wait at a stage service.
-type Waits interface {
-	Wait(service string, priority int) (wait, age time.Duration)
+// Estimates tell how long stage services take now.
+type Estimates interface {
+	// Until returns the expected time until a new piece is made, and its age.
+	Until(service string, priority int) (until, age time.Duration, ok bool)
 }
 
 // Meter counts requests.
@@ -47,7 +48,7 @@
 	Exchanger *exchanger.Exchanger
 	Stager    *stager.Stager
 	Budget    Budget
-	Waits     Waits
+	Estimates Estimates
 	Meter     Meter
 }
 
@@ -56,10 +57,13 @@
 	Parts
 	stopping atomic.Bool
 	active   atomic.Int64
+	patience patience
 }
 
 // New returns a Relayer.
-func New(parts Parts) *Relayer { return &Relayer{Parts: parts} }
+func New(parts Parts) *Relayer {
+	return &Relayer{Parts: parts, patience: patience{longest: make(map[string]time.Duration)}}
+}
 
 // Leave makes every further answer the last of its connection.
 func (l *Relayer) Leave() { l.stopping.Store(true) }
