--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -187,14 +187,27 @@
 	if s == nil {
 		return
 	}
+	for key := range s.queue.coming {
+		if key.request == request {
+			delete(s.queue.coming, key)
+		}
+	}
 	for _, t := range slices.Clone(s.tasks[request]) {
 		o.end(s, t, server.FailingLate)
 	}
 	o.dispatch(s)
 }
 
-// Until returns the expected times until a new piece is made, by rank.
-func (o *Owner) Until(service string, ranks int) []time.Duration {
+// Expect notes pieces of a request's stage that will be asked for.
+func (o *Owner) Expect(service, request string, stage, count, priority int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.shop(service).queue.expect(stageKey{request, stage}, count, priority, o.timer.Now())
+}
+
+// Until returns the expected times until a new piece is made, by rank, and the
+// part of them that a call takes.
+func (o *Owner) Until(service string, ranks int) (until []time.Duration, usual time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	times := make([]time.Duration, ranks)
@@ -203,8 +216,9 @@
 		for rank := range times {
 			times[rank] = s.queue.until(rank, now)
 		}
+		usual = s.queue.typical()
 	}
-	return times
+	return times, usual
 }
 
 // Release frees results.
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -24,6 +24,8 @@
 	spanGain = 0.15
 	// foreignHalf is the time in which room that others are believed to take halves.
 	foreignHalf = 150 * time.Millisecond
+	// comingFor is how long an instance's word of coming pieces is believed.
+	comingFor = 3 * time.Second
 	// usualFill is the part of a call that is taken as filled before any was made.
 	usualFill = 0.5
 	// minPace and maxPace bound what one call says of a replica.
@@ -117,14 +119,51 @@
 	numbers uint64
 	// usual is the time that calls usually take; zero before the first.
 	usual time.Duration
+	// coming are the pieces that will be asked for.
+	coming map[stageKey]coming
 }
 
-func newQueue() *queue { return &queue{benches: make(map[string]*bench)} }
+// stageKey names one stage of one request.
+type stageKey struct {
+	request string
+	stage   int
+}
+
+// coming are pieces that will be asked for when the stages before are made.
+type coming struct {
+	count, priority int
+	expires         time.Time
+}
+
+func newQueue() *queue {
+	return &queue{benches: make(map[string]*bench), coming: make(map[stageKey]coming)}
+}
+
+// expect notes pieces that will be asked for.
+func (q *queue) expect(key stageKey, count, priority int, now time.Time) {
+	q.coming[key] = coming{count: count, priority: priority, expires: now.Add(comingFor)}
+}
+
+// expected counts the pieces of ranks up to priority that will be asked for.
+func (q *queue) expected(priority int, now time.Time) int {
+	count := 0
+	for key, c := range q.coming {
+		if now.After(c.expires) {
+			delete(q.coming, key)
+			continue
+		}
+		if c.priority <= priority {
+			count += c.count
+		}
+	}
+	return count
+}
 
 // add queues a task's pieces.
 func (q *queue) add(t *task) {
 	q.numbers++
 	t.number = q.numbers
+	delete(q.coming, stageKey{t.Request, t.Stage})
 	for i := range t.Pieces {
 		q.items = append(q.items, &item{task: t, index: i})
 	}
@@ -330,12 +369,9 @@
 }
 
 // until estimates how long it takes until a new piece of a rank is made: the
-// pieces that are on time and go before it, and a call.
+// pieces that are on time and go before it, here already or coming, and a call.
 func (q *queue) until(priority int, now time.Time) time.Duration {
-	usual := q.usual
-	if usual == 0 {
-		usual = q.batch.Span(int(usualFill * float64(q.batch.Size)))
-	}
+	usual := q.typical()
 	next := time.Duration(-1)
 	var perSecond float64
 	for _, b := range q.benches {
@@ -355,7 +391,7 @@
 		return 2 * usual
 	}
 	soon := now.Add(q.shortest())
-	ahead := 0
+	ahead := q.expected(priority, now)
 	for _, i := range q.items {
 		if i.task.Priority <= priority && !soon.After(i.task.Goal) {
 			ahead++
@@ -364,6 +400,14 @@
 	return next + time.Duration(float64(ahead)/perSecond*float64(time.Second)) + usual
 }
 
+// typical is the time that calls usually take.
+func (q *queue) typical() time.Duration {
+	if q.usual == 0 {
+		return q.batch.Span(int(usualFill * float64(q.batch.Size)))
+	}
+	return q.usual
+}
+
 // took learns from a call's time.
 func (q *queue) took(span time.Duration) {
 	if q.usual == 0 {
--- a/internal/server/batcher/sharer.go
+++ b/internal/server/batcher/sharer.go
@@ -16,6 +16,8 @@
 	maxOwners = 4
 	// releaseWait gathers results to release at their owner.
 	releaseWait = 15 * time.Millisecond
+	// comingWait gathers word of coming pieces for an owner.
+	comingWait = 10 * time.Millisecond
 	// ranks is the number of priorities that times are told for.
 	ranks = 4
 	// untilFresh is how long told times are believed.
@@ -42,12 +44,15 @@
 	releases map[string][]string
 	armed    bool
 	told     map[string]told
+	coming   []*encoder.ComingPieces
+	telling  bool
 }
 
 // told are the expected times until a piece is made, by rank, as the service's
 // owner told.
 type told struct {
 	ranks []time.Duration
+	usual time.Duration
 	at    time.Time
 }
 
@@ -79,7 +84,7 @@
 func (s *Sharer) local(ctx context.Context, job *Job) (Result, error) {
 	done := make(chan Result, 1)
 	s.owner.Submit(job, func(r Result) { done <- r })
-	s.note(job.Service, s.owner.Until(job.Service, ranks))
+	s.noteOwn(job.Service)
 	select {
 	case result := <-done:
 		return result, nil
@@ -122,7 +127,7 @@
 	for rank, ms := range made.GetUntilMs() {
 		times[rank] = time.Duration(ms) * time.Millisecond
 	}
-	s.note(job.Service, times)
+	s.note(job.Service, times, time.Duration(made.GetUsualMs())*time.Millisecond)
 	return Result{Handles: made.GetHandles(), Failing: server.Failing(made.GetFailing())}, nil
 }
 
@@ -156,7 +161,9 @@
 	case <-ctx.Done():
 		answer.Failing = string(server.FailingError)
 	}
-	for _, until := range s.owner.Until(job.Service, ranks) {
+	times, usual := s.owner.Until(job.Service, ranks)
+	answer.UsualMs = uint32(usual.Milliseconds())
+	for _, until := range times {
 		answer.UntilMs = append(answer.UntilMs, uint32(until.Milliseconds()))
 	}
 	return &encoder.Frame{Body: &encoder.Frame_Made{Made: answer}}
@@ -196,24 +203,81 @@
 	}
 }
 
-func (s *Sharer) note(service string, times []time.Duration) {
+// Expect tells the owner of a stage service what it will be asked for.
+func (s *Sharer) Expect(service, request string, stage, count, priority int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coming = append(s.coming, &encoder.ComingPieces{
+		Service: service, Request: request, Stage: uint32(stage), Count: uint32(count), Priority: uint32(priority),
+	})
+	if !s.telling {
+		s.telling = true
+		s.timer.After(comingWait, func(time.Time) { go s.tell() })
+	}
+}
+
+// tell sends the owners what is coming.
+func (s *Sharer) tell() {
+	s.mu.Lock()
+	all := s.coming
+	s.coming, s.telling = nil, false
+	s.mu.Unlock()
+	owners := make(map[string]*encoder.Coming)
+	for _, pieces := range all {
+		owner := s.links.Owner(pieces.GetService())
+		if owners[owner] == nil {
+			owners[owner] = &encoder.Coming{}
+		}
+		owners[owner].Pieces = append(owners[owner].Pieces, pieces)
+	}
+	for owner, coming := range owners {
+		if owner == s.links.Self().ID {
+			s.Hear(coming)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+		if err := s.links.Tell(ctx, owner, &encoder.Frame{Body: &encoder.Frame_Coming{Coming: coming}}); err != nil {
+			s.log.Info("owner not told of coming pieces; its estimates are low", "owner", owner, "cause", err.Error())
+		}
+		cancel()
+	}
+}
+
+// Hear takes an instance's word of pieces that it will ask for.
+func (s *Sharer) Hear(coming *encoder.Coming) {
+	for _, pieces := range coming.GetPieces() {
+		s.owner.Expect(pieces.GetService(), pieces.GetRequest(), int(pieces.GetStage()), int(pieces.GetCount()), int(pieces.GetPriority()))
+	}
+}
+
+func (s *Sharer) note(service string, times []time.Duration, usual time.Duration) {
 	if len(times) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told[service] = told{ranks: times, at: s.timer.Now()}
+	s.told[service] = told{ranks: times, usual: usual, at: s.timer.Now()}
+}
+
+// noteOwn notes the estimate of a service that this instance owns.
+func (s *Sharer) noteOwn(service string) {
+	times, usual := s.owner.Until(service, ranks)
+	s.note(service, times, usual)
 }
 
 // Until returns the expected time until a piece of a rank is made at a service,
-// as last told, and its age; ok is false when it is not known.
-func (s *Sharer) Until(service string, priority int) (until, age time.Duration, ok bool) {
+// as last told, the part of it that a call takes, and its age; ok is false when it
+// is not known.
+func (s *Sharer) Until(service string, priority int) (until, usual, age time.Duration, ok bool) {
+	if s.links.Owner(service) == s.links.Self().ID {
+		s.noteOwn(service)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.told[service]
 	age = s.timer.Now().Sub(t.at)
 	if !ok || age > untilFresh {
-		return 0, age, false
+		return 0, 0, age, false
 	}
-	return t.ranks[min(priority, len(t.ranks)-1)], age, true
+	return t.ranks[min(priority, len(t.ranks)-1)], t.usual, age, true
 }
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -31,7 +31,7 @@
 	queuedLeast = 150 * time.Millisecond
 	// minBack is the shortest time after which a request that was refused for
 	// want of capacity is told to come back.
-	minBack = 500 * time.Millisecond
+	minBack = 1500 * time.Millisecond
 	// firstMargin is left of a client's patience for the way of the first event.
 	firstMargin = 100 * time.Millisecond
 	// stageFill is the part of a call's size that is usually filled.
@@ -75,7 +75,8 @@
 
 // expected estimates the time to the first byte of the answer along the
 // request's critical path, the part of it that is queueing, and the age of the
-// oldest estimate in it.
+// oldest estimate in it. The queue of a later stage drains while the stages before
+// are made.
 func (f *flow) expected() (total, queued, age time.Duration) {
 	stages := f.route.Stages
 	ends, waits := make([]time.Duration, len(stages)), make([]time.Duration, len(stages))
@@ -86,9 +87,9 @@
 			}
 		}
 		if i < len(f.traits.Pieces) && f.traits.Pieces[i] > 0 {
-			until, old := f.until(stage.Service)
-			ends[i] += until
-			waits[i] += max(until-f.call(stage.Service), 0)
+			wait, usual, old := f.until(stage.Service)
+			waits[i] += max(wait-ends[i], 0)
+			ends[i] = max(ends[i], wait) + usual
 			age = max(age, old)
 		}
 		if ends[i] > total {
@@ -98,13 +99,13 @@
 	return total + f.engine(), queued, age
 }
 
-// until is the expected time until a piece is made at a service.
-func (f *flow) until(service string) (until, age time.Duration) {
-	until, age, ok := f.Estimates.Until(service, f.priority)
+// until is the expected wait for a call of a service, and the call's time.
+func (f *flow) until(service string) (wait, usual, age time.Duration) {
+	until, usual, age, ok := f.Estimates.Until(service, f.priority)
 	if !ok {
-		return f.call(service), 0
+		return 0, f.call(service), 0
 	}
-	return until, age
+	return max(until-usual, 0), usual, age
 }
 
 // call is the time of a call of a stage service as the plan states it, with the
@@ -196,8 +197,8 @@
 	wait := refusedWait
 	for i, stage := range f.route.Stages {
 		if i < len(f.traits.Pieces) && f.traits.Pieces[i] > 0 {
-			until, _ := f.until(stage.Service)
-			wait = max(wait, until)
+			queue, _, _ := f.until(stage.Service)
+			wait = max(wait, queue)
 		}
 	}
 	return wait
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -24,8 +24,9 @@
 
 // Estimates tell how long stage services take now.
 type Estimates interface {
-	// Until returns the expected time until a new piece is made, and its age.
-	Until(service string, priority int) (until, age time.Duration, ok bool)
+	// Until returns the expected time until a new piece is made, the part of it
+	// that a call takes, and the estimate's age.
+	Until(service string, priority int) (until, usual, age time.Duration, ok bool)
 }
 
 // Meter counts requests.
--- a/internal/server/stager/stager.go
+++ b/internal/server/stager/stager.go
@@ -24,6 +24,8 @@
 type Maker interface {
 	Make(ctx context.Context, job *batcher.Job) (batcher.Result, error)
 	Release(service string, handles []string)
+	// Expect tells of pieces that will be asked for.
+	Expect(service, request string, stage, count, priority int)
 }
 
 // Stager runs the stages of requests.
@@ -123,6 +125,7 @@
 			leaf[after] = false
 		}
 	}
+	r.announce()
 	group, ctx := errgroup.WithContext(ctx)
 	for i := range n {
 		group.Go(func() error { return r.stage(ctx, i) })
@@ -140,6 +143,15 @@
 	return &Results{handles: last, free: sync.OnceFunc(r.freeAll)}, "", nil
 }
 
+// announce tells the services of later stages what is coming.
+func (r *run) announce() {
+	for i, stage := range r.request.Stages {
+		if len(stage.After) > 0 && i < len(r.request.Pieces) && r.request.Pieces[i] > 0 {
+			r.stager.maker.Expect(stage.Service, r.request.ID, i, r.request.Pieces[i], r.request.Priority)
+		}
+	}
+}
+
 // stage waits for what a stage needs and has its pieces made.
 func (r *run) stage(ctx context.Context, i int) error {
 	spec := &r.request.Stages[i]
