--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -345,6 +345,9 @@
 	defer o.mu.Unlock()
 	now := o.timer.Now()
 	s.queue.finish(c)
+	o.log.Info("stage call", "service", s.name, "replica", c.bench.ID, "datacentre", c.bench.Datacentre, "pieces", len(c.items),
+		"first_request", c.items[0].task.Request, "oldest_ms", began.Sub(c.oldest()).Milliseconds(), "took_ms", now.Sub(began).Milliseconds(),
+		"span_ms", c.span.Milliseconds(), "waiting", len(s.queue.items), "used", c.bench.used, "room", s.queue.batch.Room, "ok", err == nil)
 	if err != nil {
 		o.failed(s, c, err, overdue, now)
 	} else {
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -9,9 +9,13 @@
 )
 
 const (
-	// patience is how long a piece waits for a replica in the data centre where
-	// its result is wanted.
-	patience = 150 * time.Millisecond
+	// patience is how long a piece waits for a replica in the data centre where it
+	// is best made, while it stays on time; latePatience is the same for one that
+	// does not.
+	patience     = 350 * time.Millisecond
+	latePatience = 50 * time.Millisecond
+	// slackLeast is the slack that a piece keeps when it waits.
+	slackLeast = 60 * time.Millisecond
 	// slowFactor is how many times slower than the best a replica may be before
 	// pieces wait for a better one.
 	slowFactor = 1.8
@@ -176,6 +180,17 @@
 	span  time.Duration
 }
 
+// oldest is when the first of a call's pieces was queued.
+func (c *call) oldest() time.Time {
+	oldest := c.items[0].task.enqueued
+	for _, i := range c.items {
+		if i.task.enqueued.Before(oldest) {
+			oldest = i.task.enqueued
+		}
+	}
+	return oldest
+}
+
 // next returns the next call to make now, or nil. Pieces that cannot be made in
 // time any more are returned as hopeless and leave the queue.
 func (q *queue) next(now time.Time) (*call, []*item) {
@@ -277,13 +292,21 @@
 	})
 }
 
-// places returns the data centres with a replica that pieces may wait for.
-func (q *queue) places(now time.Time) map[string]bool {
-	places := make(map[string]bool)
+// places returns by data centre when its replicas can take their next calls.
+func (q *queue) places(now time.Time) map[string][]time.Time {
+	places := make(map[string][]time.Time)
 	for _, b := range q.benches {
-		if !b.gone && !now.Before(b.blocked) && !q.slow(b) {
-			places[b.Datacentre] = true
+		if b.gone || now.Before(b.blocked) || q.slow(b) {
+			continue
+		}
+		free := now
+		if b.calls >= q.batch.Slots && b.free.After(now) {
+			free = b.free
 		}
+		places[b.Datacentre] = append(places[b.Datacentre], free)
+	}
+	for _, free := range places {
+		slices.SortFunc(free, time.Time.Compare)
 	}
 	return places
 }
@@ -325,17 +348,24 @@
 	return false
 }
 
-// fill chooses pieces for a replica, within the size of a call and its room.
-func (q *queue) fill(b *bench, places map[string]bool, now time.Time) []*item {
+// fill chooses pieces for a replica, within the size of a call and its room. A
+// piece that is wanted elsewhere is left for there if a replica there can take it
+// within patience.
+func (q *queue) fill(b *bench, places map[string][]time.Time, now time.Time) []*item {
 	var items []*item
 	room := b.room(q.batch.Room, now)
+	homes := make(map[string]int, len(places))
 	for _, i := range q.items {
 		if len(items) == q.batch.Size {
 			break
 		}
 		t := i.task
-		if t.Datacentre != "" && t.Datacentre != b.Datacentre && places[t.Datacentre] && now.Sub(t.enqueued) < patience {
-			continue
+		if home := t.Datacentre; home != "" && home != b.Datacentre && len(places[home]) > 0 {
+			call := homes[home] / q.batch.Size
+			homes[home]++
+			if call < len(places[home]) && q.waits(t, places[home][call]) {
+				continue
+			}
 		}
 		if q.batch.Room > 0 && t.Bytes > room {
 			continue
@@ -346,12 +376,26 @@
 	return items
 }
 
+// waits reports whether a task should wait for a replica where its pieces are
+// best made: while it stays on time, else for a short while only.
+func (q *queue) waits(t *task, free time.Time) bool {
+	wait := free.Sub(t.enqueued)
+	if free.Add(q.typical() + slackLeast).Before(t.Goal) {
+		return wait < patience
+	}
+	return wait < latePatience
+}
+
 // start takes pieces out of the queue for a call.
 func (q *queue) start(b *bench, items []*item, now time.Time) *call {
 	taken := make(map[*item]bool, len(items))
 	for _, i := range items {
 		taken[i] = true
 		b.used += i.task.Bytes
+		if i.task.Datacentre == "" {
+			// The stage that follows fetches all of a request's results together.
+			i.task.Datacentre = b.Datacentre
+		}
 	}
 	q.items = slices.DeleteFunc(q.items, func(i *item) bool { return taken[i] })
 	span := b.span(&q.batch, len(items))
--- a/internal/server/batcher/queue_test.go
+++ b/internal/server/batcher/queue_test.go
@@ -146,6 +146,32 @@
 	is.Equal(c.bench.ID, "i-1")
 }
 
+func TestAQueueThatIsTooLongForItsDataCentreGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(2)
+	q.benches["i-0"].calls = 1 // east is busy
+	for i := range 3 {
+		task := testTask(string(rune('a'+i)), 14, 1, time.Second, 8*time.Second)
+		task.Datacentre = "east"
+		q.add(task)
+	}
+	c, _ := q.next(start)
+	is.Equal(c.bench.ID, "i-1")
+	is.Equal(requests(c), "bbbbbbbbbbbbbb") // the first call's worth waits for east
+}
+
+func TestPiecesOfARequestStayTogether(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(2)
+	q.batch.Size = 4
+	q.add(testTask("a", 6, 1, time.Second, 8*time.Second))
+	c, _ := q.next(start)
+	is.Equal(len(c.items), 4)
+	is.Equal(q.items[0].task.Datacentre, c.bench.Datacentre)
+	other, _ := q.next(start)
+	is.True(other == nil) // the other data centre is idle, but the first four are not there
+}
+
 func TestASlowReplicaIsUsedOnlyWhenThatIsSooner(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue(2)
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -153,7 +153,7 @@
 	}
 	results, err := f.Stager.Run(f.ctx, &stager.Request{
 		ID: f.traits.ID, Stages: f.route.Stages, Pieces: f.traits.Pieces, Key: f.traits.PieceKey, Priority: f.priority,
-		Datacentre: place, Goal: f.goal, Last: f.last(), Tail: f.tail,
+		Datacentre: place, Place: f.place, Goal: f.goal, Last: f.last(), Tail: f.tail,
 	})
 	f.staged += f.Timer.Now().Sub(began)
 	f.Meter.Staged(f.route.Name, f.staged)
@@ -164,6 +164,12 @@
 	return f.unstaged(err)
 }
 
+// place returns the data centre that keeps a result, or "".
+func (f *flow) place(service, handle string) string {
+	replica, _ := f.view.Replica(service, f.Wire.Owner(handle))
+	return replica.Datacentre
+}
+
 // unstaged ends a request whose pieces were not made.
 func (f *flow) unstaged(err error) bool {
 	switch {
--- a/internal/server/stager/stager.go
+++ b/internal/server/stager/stager.go
@@ -20,6 +20,11 @@
 // was lost.
 const maxRounds = 3
 
+// nearBytes is the traffic of one stage of a request from which its pieces are
+// made near it. At 0.2 MB the price of crossing data centres is a hundredth of a
+// usual request's worth.
+const nearBytes = 200_000
+
 // Maker makes the pieces of one stage.
 type Maker interface {
 	Make(ctx context.Context, job *batcher.Job) (batcher.Result, error)
@@ -49,6 +54,8 @@
 	Priority int
 	// Datacentre is where the last results are needed.
 	Datacentre string
+	// Place returns the data centre that keeps a result of a service, or "".
+	Place func(service, handle string) string
 	// Goal and Last are when the results must be there for the request to be on
 	// time, and to be of use at all.
 	Goal, Last time.Time
@@ -109,20 +116,21 @@
 	mu      sync.Mutex
 	handles [][]string
 	// needed counts the stages that still need a stage's results.
-	needed  []int
+	needed []int
+	// leaf marks the stages that none follows.
+	leaf    []bool
 	failing server.Failing
 }
 
 func (s *Stager) round(ctx context.Context, request *Request) (*Results, server.Failing, error) {
 	n := len(request.Stages)
-	r := &run{stager: s, request: request, made: make([]chan struct{}, n), handles: make([][]string, n), needed: make([]int, n)}
-	leaf := make([]bool, n)
+	r := &run{stager: s, request: request, made: make([]chan struct{}, n), handles: make([][]string, n), needed: make([]int, n), leaf: make([]bool, n)}
 	for i := range n {
 		r.made[i] = make(chan struct{})
-		leaf[i] = true
+		r.leaf[i] = true
 		for _, after := range request.Stages[i].After {
 			r.needed[after]++
-			leaf[after] = false
+			r.leaf[after] = false
 		}
 	}
 	r.announce()
@@ -136,7 +144,7 @@
 	}
 	var last []string
 	for i := range n {
-		if leaf[i] {
+		if r.leaf[i] {
 			last = append(last, r.handles[i]...)
 		}
 	}
@@ -196,7 +204,7 @@
 	spec := &r.request.Stages[i]
 	tail := r.request.Tail(i)
 	job := &batcher.Job{
-		Service: spec.Service, Request: r.request.ID, Stage: i, Datacentre: r.request.Datacentre, Bytes: spec.Bytes,
+		Service: spec.Service, Request: r.request.ID, Stage: i, Bytes: spec.Bytes,
 		Priority: r.request.Priority, Goal: r.request.Goal.Add(-tail), Last: r.request.Last.Add(-tail),
 	}
 	if i < len(r.request.Pieces) {
@@ -206,16 +214,44 @@
 	}
 	if len(spec.After) == 0 {
 		job.Key = r.request.Key
-		return job
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, after := range spec.After {
 		job.Inputs = append(job.Inputs, r.handles[after]...)
 	}
+	job.Datacentre = r.place(i, len(job.Pieces))
 	return job
 }
 
+// place returns where a stage's pieces are best made: near the most bytes that
+// they fetch, or near the engine that fetches them; "" where neither is much.
+// mu is held.
+func (r *run) place(i, pieces int) string {
+	spec := &r.request.Stages[i]
+	if len(spec.After) == 0 {
+		if r.leaf[i] && spec.Bytes*int64(pieces) >= nearBytes {
+			return r.request.Datacentre
+		}
+		return ""
+	}
+	bytes := make(map[string]int64)
+	best := ""
+	for _, after := range spec.After {
+		before := &r.request.Stages[after]
+		for _, handle := range r.handles[after] {
+			at := r.request.Place(before.Service, handle)
+			if bytes[at] += before.Bytes * int64(pieces); bytes[at] > bytes[best] {
+				best = at
+			}
+		}
+	}
+	if bytes[best] < nearBytes {
+		return ""
+	}
+	return best
+}
+
 // release frees a stage's results when no other stage needs them.
 func (r *run) release(i int) {
 	r.mu.Lock()
--- a/internal/server/stager/stager_test.go
+++ b/internal/server/stager/stager_test.go
@@ -70,7 +70,8 @@
 	now := time.Now()
 	return &stager.Request{
 		ID: "r", Stages: chain, Pieces: pieces, Key: "k", Goal: now.Add(time.Second), Last: now.Add(5 * time.Second),
-		Tail: func(int) time.Duration { return 0 },
+		Tail: func(int) time.Duration { return 0 }, Datacentre: "engine",
+		Place: func(_, handle string) string { return "dc" + handle[:1] },
 	}
 }
 
@@ -109,6 +110,25 @@
 	})
 }
 
+// TestPiecesAreMadeNearTheMostBytes holds that large results are made near what
+// fetches them, and small ones anywhere.
+func TestPiecesAreMadeNearTheMostBytes(t *testing.T) {
+	m := &maker{}
+	bubble(t, m, func(is *is.I, s *stager.Stager) {
+		r := request(2, 1, 8, 16)
+		r.Stages = slices.Clone(chain)
+		for i, bytes := range []int64{3e6, 8e3, 60e3, 6e3} {
+			r.Stages[i].Bytes = bytes
+		}
+		_, err := s.Run(context.Background(), r)
+		is.NoErr(err)
+		for _, job := range m.jobs {
+			want := map[int]string{0: "engine", 1: "", 2: "", 3: "dc3"}[job.Stage] // the third job made stage 2
+			is.Equal(job.Datacentre, want)
+		}
+	})
+}
+
 func TestStagesWithoutPiecesAreLeftOut(t *testing.T) {
 	m := &maker{}
 	bubble(t, m, func(is *is.I, s *stager.Stager) {
