--- a/internal/server/batcher/job.go
+++ b/internal/server/batcher/job.go
@@ -21,8 +21,8 @@
 	// Datacentre is where the results are best made, or "".
 	Datacentre string
 	// Bytes is the approximate size of a result.
-	Bytes    int64
-	Priority int
+	Bytes int64
+	Rank  int
 	// Goal is when the pieces must be made for the request to be on time, Last
 	// when they become useless.
 	Goal, Last time.Time
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -199,10 +199,10 @@
 }
 
 // Expect notes pieces of a request's stage that will be asked for.
-func (o *Owner) Expect(service, request string, stage, count, priority int) {
+func (o *Owner) Expect(service, request string, stage, count, rank int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.shop(service).queue.expect(stageKey{request, stage}, count, priority, o.timer.Now())
+	o.shop(service).queue.expect(stageKey{request, stage}, count, rank, o.timer.Now())
 }
 
 // Until returns the expected times until a new piece is made, by rank, and the
@@ -210,15 +210,10 @@
 func (o *Owner) Until(service string, ranks int) (until []time.Duration, usual time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	times := make([]time.Duration, ranks)
 	if s := o.shops[service]; s != nil {
-		now := o.timer.Now()
-		for rank := range times {
-			times[rank] = s.queue.until(rank, now)
-		}
-		usual = s.queue.typical()
+		return s.queue.until(ranks, o.timer.Now()), s.queue.typical()
 	}
-	return times, usual
+	return nil, 0
 }
 
 // Release frees results.
--- a/internal/server/batcher/owner_test.go
+++ b/internal/server/batcher/owner_test.go
@@ -75,7 +75,7 @@
 // budget grants everything, or nothing.
 type budget bool
 
-func (b budget) Requested(string, int)   {}
+func (b budget) Requested(string, int)  {}
 func (b budget) Spend(string, int) bool { return bool(b) }
 
 func newTestOwner(t *testing.T, r *replicas, b budget, n int) *Owner {
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -135,8 +135,8 @@
 
 // coming are pieces that will be asked for when the stages before are made.
 type coming struct {
-	count, priority int
-	expires         time.Time
+	count, rank int
+	expires     time.Time
 }
 
 func newQueue() *queue {
@@ -144,23 +144,19 @@
 }
 
 // expect notes pieces that will be asked for.
-func (q *queue) expect(key stageKey, count, priority int, now time.Time) {
-	q.coming[key] = coming{count: count, priority: priority, expires: now.Add(comingFor)}
+func (q *queue) expect(key stageKey, count, rank int, now time.Time) {
+	q.coming[key] = coming{count: count, rank: rank, expires: now.Add(comingFor)}
 }
 
-// expected counts the pieces of ranks up to priority that will be asked for.
-func (q *queue) expected(priority int, now time.Time) int {
-	count := 0
+// expected adds the pieces that will be asked for to counts by rank.
+func (q *queue) expected(counts []int, now time.Time) {
 	for key, c := range q.coming {
 		if now.After(c.expires) {
 			delete(q.coming, key)
 			continue
 		}
-		if c.priority <= priority {
-			count += c.count
-		}
+		counts[min(c.rank, len(counts)-1)] += c.count
 	}
-	return count
 }
 
 // add queues a task's pieces.
@@ -285,7 +281,7 @@
 		}
 		return cmp.Or(
 			cmp.Compare(late(a), late(b)),
-			cmp.Compare(a.task.Priority, b.task.Priority),
+			cmp.Compare(a.task.Rank, b.task.Rank),
 			a.task.Goal.Compare(b.task.Goal),
 			cmp.Compare(a.task.number, b.task.number),
 		)
@@ -412,12 +408,37 @@
 	}
 }
 
-// until estimates how long it takes until a new piece of a rank is made: the
+// until estimates by rank how long it takes until a new piece is made: the
 // pieces that are on time and go before it, here already or coming, and a call.
-func (q *queue) until(priority int, now time.Time) time.Duration {
-	usual := q.typical()
-	next := time.Duration(-1)
-	var perSecond float64
+func (q *queue) until(ranks int, now time.Time) []time.Duration {
+	times := make([]time.Duration, ranks)
+	next, perSecond := q.flow(now)
+	if next < 0 {
+		for rank := range times {
+			times[rank] = 2 * q.typical()
+		}
+		return times
+	}
+	soon := now.Add(q.shortest())
+	counts := make([]int, ranks)
+	q.expected(counts, now)
+	for _, i := range q.items {
+		if !soon.After(i.task.Goal) {
+			counts[min(i.task.Rank, ranks-1)]++
+		}
+	}
+	ahead := 0
+	for rank := range times {
+		ahead += counts[rank]
+		times[rank] = next + time.Duration(float64(ahead)/perSecond*float64(time.Second)) + q.typical()
+	}
+	return times
+}
+
+// flow returns when the next call can begin, or -1 when no replica can make one,
+// and the pieces a second that full calls make.
+func (q *queue) flow(now time.Time) (next time.Duration, perSecond float64) {
+	next = -1
 	for _, b := range q.benches {
 		if b.gone || now.Before(b.blocked) {
 			continue
@@ -431,17 +452,7 @@
 		}
 		perSecond += float64(q.batch.Size) / max(b.span(&q.batch, q.batch.Size), time.Millisecond).Seconds()
 	}
-	if next < 0 {
-		return 2 * usual
-	}
-	soon := now.Add(q.shortest())
-	ahead := q.expected(priority, now)
-	for _, i := range q.items {
-		if i.task.Priority <= priority && !soon.After(i.task.Goal) {
-			ahead++
-		}
-	}
-	return next + time.Duration(float64(ahead)/perSecond*float64(time.Second)) + usual
+	return next, perSecond
 }
 
 // typical is the time that calls usually take.
--- a/internal/server/batcher/queue_test.go
+++ b/internal/server/batcher/queue_test.go
@@ -23,8 +23,8 @@
 	return q
 }
 
-func testTask(request string, pieces, priority int, goal, last time.Duration) *task {
-	job := &Job{Service: "s", Request: request, Priority: priority, Goal: start.Add(goal), Last: start.Add(last), Bytes: 1000}
+func testTask(request string, pieces, rank int, goal, last time.Duration) *task {
+	job := &Job{Service: "s", Request: request, Rank: rank, Goal: start.Add(goal), Last: start.Add(last), Bytes: 1000}
 	for i := range pieces {
 		job.Pieces = append(job.Pieces, i)
 	}
@@ -121,15 +121,18 @@
 func TestTimesUntilAPieceIsMade(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue(2)
-	calm := q.until(1, start)
-	is.Equal(calm, q.batch.Span(q.batch.Size/2))
+	calm := q.until(4, start)
+	is.Equal(calm[1], q.batch.Span(q.batch.Size/2))
 	for range 10 {
 		q.add(testTask("a", 14, 1, time.Second, 8*time.Second))
 	}
 	full := q.batch.Span(q.batch.Size)
-	is.True(q.until(1, start) >= calm+5*full-time.Millisecond) // ten calls at two replicas
-	is.Equal(q.until(0, start), calm)                          // a higher rank goes before
-	is.Equal(q.until(1, start.Add(time.Second)), calm)         // late ones hold nobody up
+	is.True(q.until(4, start)[1] >= calm[1]+5*full-time.Millisecond) // ten calls at two replicas
+	is.Equal(q.until(4, start)[0], calm[0])                          // a higher rank goes before
+	is.Equal(q.until(4, start.Add(time.Second))[1], calm[1])         // late ones hold nobody up
+	q.expect(stageKey{"b", 2}, 28, 2, start)
+	is.True(q.until(4, start)[2] > q.until(4, start)[1]+full-time.Millisecond) // what is coming goes before
+	is.Equal(q.until(4, start.Add(time.Minute))[2], calm[2])
 }
 
 func TestPiecesWaitForTheirDataCentreForAWhile(t *testing.T) {
--- a/internal/server/batcher/sharer.go
+++ b/internal/server/batcher/sharer.go
@@ -9,6 +9,7 @@
 
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
+	"oriolemill.example/oriolemill/internal/server/router"
 )
 
 const (
@@ -18,8 +19,6 @@
 	releaseWait = 15 * time.Millisecond
 	// comingWait gathers word of coming pieces for an owner.
 	comingWait = 10 * time.Millisecond
-	// ranks is the number of priorities that times are told for.
-	ranks = 4
 	// untilFresh is how long told times are believed.
 	untilFresh = 700 * time.Millisecond
 	// withdrawTimeout bounds a message to an owner that nobody waits for.
@@ -108,7 +107,7 @@
 	now := s.timer.Now()
 	ask := &encoder.PiecesAsk{
 		Service: job.Service, Request: job.Request, Stage: uint32(job.Stage), Key: job.Key, Inputs: job.Inputs,
-		Datacentre: job.Datacentre, Bytes: uint64(job.Bytes), Priority: uint32(job.Priority),
+		Datacentre: job.Datacentre, Bytes: uint64(job.Bytes), Rank: uint32(job.Rank),
 		GoalMs: job.Goal.Sub(now).Milliseconds(), LeftMs: job.Last.Sub(now).Milliseconds(),
 	}
 	for _, piece := range job.Pieces {
@@ -146,7 +145,7 @@
 	now := s.timer.Now()
 	job := &Job{
 		Service: ask.GetService(), Request: ask.GetRequest(), Stage: int(ask.GetStage()), Key: ask.GetKey(), Inputs: ask.GetInputs(),
-		Datacentre: ask.GetDatacentre(), Bytes: int64(ask.GetBytes()), Priority: int(ask.GetPriority()),
+		Datacentre: ask.GetDatacentre(), Bytes: int64(ask.GetBytes()), Rank: int(ask.GetRank()),
 		Goal: now.Add(time.Duration(ask.GetGoalMs()) * time.Millisecond), Last: now.Add(time.Duration(ask.GetLeftMs()) * time.Millisecond),
 	}
 	for _, piece := range ask.GetPieces() {
@@ -161,7 +160,7 @@
 	case <-ctx.Done():
 		answer.Failing = string(server.FailingError)
 	}
-	times, usual := s.owner.Until(job.Service, ranks)
+	times, usual := s.owner.Until(job.Service, router.Ranks)
 	answer.UsualMs = uint32(usual.Milliseconds())
 	for _, until := range times {
 		answer.UntilMs = append(answer.UntilMs, uint32(until.Milliseconds()))
@@ -204,11 +203,11 @@
 }
 
 // Expect tells the owner of a stage service what it will be asked for.
-func (s *Sharer) Expect(service, request string, stage, count, priority int) {
+func (s *Sharer) Expect(service, request string, stage, count, rank int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.coming = append(s.coming, &encoder.ComingPieces{
-		Service: service, Request: request, Stage: uint32(stage), Count: uint32(count), Priority: uint32(priority),
+		Service: service, Request: request, Stage: uint32(stage), Count: uint32(count), Rank: uint32(rank),
 	})
 	if !s.telling {
 		s.telling = true
@@ -246,7 +245,7 @@
 // Hear takes an instance's word of pieces that it will ask for.
 func (s *Sharer) Hear(coming *encoder.Coming) {
 	for _, pieces := range coming.GetPieces() {
-		s.owner.Expect(pieces.GetService(), pieces.GetRequest(), int(pieces.GetStage()), int(pieces.GetCount()), int(pieces.GetPriority()))
+		s.owner.Expect(pieces.GetService(), pieces.GetRequest(), int(pieces.GetStage()), int(pieces.GetCount()), int(pieces.GetRank()))
 	}
 }
 
@@ -261,14 +260,14 @@
 
 // noteOwn notes the estimate of a service that this instance owns.
 func (s *Sharer) noteOwn(service string) {
-	times, usual := s.owner.Until(service, ranks)
+	times, usual := s.owner.Until(service, router.Ranks)
 	s.note(service, times, usual)
 }
 
 // Until returns the expected time until a piece of a rank is made at a service,
 // as last told, the part of it that a call takes, and its age; ok is false when it
 // is not known.
-func (s *Sharer) Until(service string, priority int) (until, usual, age time.Duration, ok bool) {
+func (s *Sharer) Until(service string, rank int) (until, usual, age time.Duration, ok bool) {
 	if s.links.Owner(service) == s.links.Self().ID {
 		s.noteOwn(service)
 	}
@@ -279,5 +278,5 @@
 	if !ok || age > untilFresh {
 		return 0, 0, age, false
 	}
-	return t.ranks[min(priority, len(t.ranks)-1)], t.usual, age, true
+	return t.ranks[min(rank, len(t.ranks)-1)], t.usual, age, true
 }
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -52,7 +52,7 @@
 	if !useless && (late <= 0 || queued < queuedLeast) {
 		return true
 	}
-	f.Log.Info("refused on arrival", "request", f.traits.ID, "route", f.route.Name, "priority", f.priority, "expected_ms", expected.Milliseconds(),
+	f.Log.Info("refused on arrival", "request", f.traits.ID, "route", f.route.Name, "rank", f.rank, "expected_ms", expected.Milliseconds(),
 		"queued_ms", queued.Milliseconds(), "estimate_age_ms", age.Milliseconds(), "late_ms", late.Milliseconds(), "left_ms", f.left().Milliseconds())
 	return f.refuse("it cannot be answered in time now", max(queued, minBack))
 }
@@ -101,7 +101,7 @@
 
 // until is the expected wait for a call of a service, and the call's time.
 func (f *flow) until(service string) (wait, usual, age time.Duration) {
-	until, usual, age, ok := f.Estimates.Until(service, f.priority)
+	until, usual, age, ok := f.Estimates.Until(service, f.rank)
 	if !ok {
 		return 0, f.call(service), 0
 	}
@@ -152,7 +152,7 @@
 		place = target.Datacentre
 	}
 	results, err := f.Stager.Run(f.ctx, &stager.Request{
-		ID: f.traits.ID, Stages: f.route.Stages, Pieces: f.traits.Pieces, Key: f.traits.PieceKey, Priority: f.priority,
+		ID: f.traits.ID, Stages: f.route.Stages, Pieces: f.traits.Pieces, Key: f.traits.PieceKey, Rank: f.rank,
 		Datacentre: place, Place: f.place, Goal: f.goal, Last: f.last(), Tail: f.tail,
 	})
 	f.staged += f.Timer.Now().Sub(began)
--- a/internal/server/relayer/answer.go
+++ b/internal/server/relayer/answer.go
@@ -13,6 +13,7 @@
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/chooser"
 	"oriolemill.example/oriolemill/internal/server/exchanger"
+	"oriolemill.example/oriolemill/internal/server/router"
 )
 
 const (
@@ -21,10 +22,8 @@
 	wholeLimit = 256 << 10
 	// copyBuffer is the size of reads of an answer.
 	copyBuffer = 16 << 10
-	// urgencyStep spreads priorities over the engine's ranks, urgencyLast is
-	// the last of these.
-	urgencyStep = 2
-	urgencyLast = 9
+	// urgencies is the number of an engine's ranks.
+	urgencies = 10
 )
 
 // failure is a replica's whole answer that it failed.
@@ -72,7 +71,7 @@
 		send.Inputs = f.results.Handles()
 	}
 	if f.route.Kind == server.KindStream {
-		send.Urgency = min(f.priority*urgencyStep, urgencyLast)
+		send.Urgency = f.rank * urgencies / router.Ranks
 		send.Resume = f.events.last
 	}
 	target := f.r.RequestURI
--- a/internal/server/relayer/flow.go
+++ b/internal/server/relayer/flow.go
@@ -53,9 +53,11 @@
 	route    *server.Route
 	tenant   *server.Tenant
 	priority int
-	service  string
-	body     []byte
-	arrived  time.Time
+	// rank is the request's place among all others.
+	rank    int
+	service string
+	body    []byte
+	arrived time.Time
 	// goal is when the answer, of streams the first event, is on time.
 	goal     time.Time
 	deadline time.Time
@@ -120,7 +122,7 @@
 	if f.tenant, ok = routes.Tenant(f.route, f.traits.Key); !ok {
 		return f.reject(http.StatusUnauthorized, "the key is unknown")
 	}
-	f.priority = router.Priority(f.route, f.tenant)
+	f.priority, f.rank = router.Priority(f.route, f.tenant), router.Rank(f.route, f.tenant)
 	f.service = router.Service(f.route, f.traits.ID)
 	f.goal = f.arrived.Add(f.route.Goal - f.Relayer.patience.elapsed(f.route.Name, f.traits.Patience))
 	patience := maxPatience
@@ -299,7 +301,7 @@
 		tenant = f.tenant.Name
 	}
 	f.Meter.Ended(name, f.outcome, f.status, took)
-	f.Log.Info("request", "request", f.traits.ID, "route", name, "plan", plan, "tenant", tenant, "priority", f.priority,
+	f.Log.Info("request", "request", f.traits.ID, "route", name, "plan", plan, "tenant", tenant, "priority", f.priority, "rank", f.rank,
 		"patience_ms", f.traits.Patience.Milliseconds(), "service", f.service, "replica", f.replica, "outcome", f.outcome, "status", f.status, "reason", f.reason,
 		"attempts", f.attempts, "tries", f.tries, "took_ms", took.Milliseconds(), "staged_ms", f.staged.Milliseconds(),
 		"first_ms", f.first.Milliseconds(), "last_event", f.events.last)
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -26,7 +26,7 @@
 type Estimates interface {
 	// Until returns the expected time until a new piece is made, the part of it
 	// that a call takes, and the estimate's age.
-	Until(service string, priority int) (until, usual, age time.Duration, ok bool)
+	Until(service string, rank int) (until, usual, age time.Duration, ok bool)
 }
 
 // Meter counts requests.
--- a/internal/server/router/router.go
+++ b/internal/server/router/router.go
@@ -77,6 +77,20 @@
 	return route.Priority
 }
 
+// Ranks is the number of ranks in which requests are served; perPriority of them
+// share a tenant's priority.
+const (
+	Ranks       = 16
+	perPriority = 4
+)
+
+// Rank returns the place of a tenant's request among all others, from 0: first by
+// the priority that holds, then by that of its route.
+func Rank(route *server.Route, tenant *server.Tenant) int {
+	last := perPriority - 1
+	return min(max(Priority(route, tenant), 0), last)*perPriority + min(max(route.Priority, 0), last)
+}
+
 // Service returns the service for a request. The same attempt always goes to
 // the same service of one plan.
 func Service(route *server.Route, attempt string) string {
--- a/internal/server/router/router_test.go
+++ b/internal/server/router/router_test.go
@@ -68,3 +68,14 @@
 	is.Equal(counts["a"]+counts["b"], 10000) // a weight of zero gets nothing
 	is.Equal(router.Service(route, "x"), router.Service(route, "x"))
 }
+
+func TestRanksGoByTenantThenRoute(t *testing.T) {
+	is := is.New(t)
+	one, nine := 1, 9
+	urgent, usual := &server.Route{Priority: 0}, &server.Route{Priority: 2}
+	tenant, last := &server.Tenant{Priority: &one}, &server.Tenant{Priority: &nine}
+	is.True(router.Rank(urgent, nil) < router.Rank(urgent, tenant))
+	is.True(router.Rank(urgent, tenant) < router.Rank(usual, tenant)) // of one tenant, the urgent route
+	is.True(router.Rank(usual, tenant) < router.Rank(urgent, last))
+	is.True(router.Rank(usual, last) < router.Ranks)
+}
--- a/internal/server/stager/stager.go
+++ b/internal/server/stager/stager.go
@@ -30,7 +30,7 @@
 	Make(ctx context.Context, job *batcher.Job) (batcher.Result, error)
 	Release(service string, handles []string)
 	// Expect tells of pieces that will be asked for.
-	Expect(service, request string, stage, count, priority int)
+	Expect(service, request string, stage, count, rank int)
 }
 
 // Stager runs the stages of requests.
@@ -47,11 +47,11 @@
 
 // Request is what the stages of one request need.
 type Request struct {
-	ID       string
-	Stages   []server.StageSpec
-	Pieces   []int
-	Key      string
-	Priority int
+	ID     string
+	Stages []server.StageSpec
+	Pieces []int
+	Key    string
+	Rank   int
 	// Datacentre is where the last results are needed.
 	Datacentre string
 	// Place returns the data centre that keeps a result of a service, or "".
@@ -155,7 +155,7 @@
 func (r *run) announce() {
 	for i, stage := range r.request.Stages {
 		if len(stage.After) > 0 && i < len(r.request.Pieces) && r.request.Pieces[i] > 0 {
-			r.stager.maker.Expect(stage.Service, r.request.ID, i, r.request.Pieces[i], r.request.Priority)
+			r.stager.maker.Expect(stage.Service, r.request.ID, i, r.request.Pieces[i], r.request.Rank)
 		}
 	}
 }
@@ -205,7 +205,7 @@
 	tail := r.request.Tail(i)
 	job := &batcher.Job{
 		Service: spec.Service, Request: r.request.ID, Stage: i, Bytes: spec.Bytes,
-		Priority: r.request.Priority, Goal: r.request.Goal.Add(-tail), Last: r.request.Last.Add(-tail),
+		Rank: r.request.Rank, Goal: r.request.Goal.Add(-tail), Last: r.request.Last.Add(-tail),
 	}
 	if i < len(r.request.Pieces) {
 		for piece := range r.request.Pieces[i] {
