--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -173,3 +173,6 @@
 		}
 	})
 }
+
+// Active returns the number of clients' requests in progress.
+func (i *Instance) Active() int64 { return i.relayer.Active() }
--- /dev/null
+++ b/internal/server/dialer/dialer_test.go
@@ -0,0 +1,184 @@
+package dialer_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/dialer"
+	"oriolemill.example/oriolemill/internal/server/ticker"
+)
+
+// upstream writes answers[n] to the nth request on a connection.
+func upstream(t *testing.T, answers ...string) server.Replica {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	go func() {
+		for {
+			conn, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for _, answer := range answers {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+		}
+	}()
+	return server.Replica{ID: "i", Address: socket.Addr().String(), Born: 1}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\n" + body
+}
+
+func newDialer(t *testing.T) *dialer.Dialer {
+	t.Helper()
+	timer := ticker.New()
+	d := dialer.New(timer)
+	t.Cleanup(func() {
+		d.Close()
+		timer.Close()
+	})
+	return d
+}
+
+// exchange makes one exchange and returns its body and whether the connection
+// was kept.
+func exchange(d *dialer.Dialer, replica server.Replica, id string) (body string, used, kept bool, err error) {
+	conn, err := d.Take(context.Background(), &replica, false)
+	if err != nil {
+		return "", false, false, err
+	}
+	used = conn.Used()
+	if err := conn.Send("POST", "/", "h", http.Header{}, []byte("x")); err != nil {
+		return "", used, false, err
+	}
+	response, err := conn.Answer("POST", id, func(r *http.Response) string { return r.Header.Get("Id") })
+	if err != nil {
+		_ = conn.Close()
+		return "", used, false, err
+	}
+	data, err := io.ReadAll(response.Body)
+	if err == nil && conn.Clean(response) {
+		d.Keep(conn, 5*time.Second)
+		return string(data), used, true, nil
+	}
+	_ = conn.Close()
+	return string(data), used, false, err
+}
+
+func TestConnectionsAreKeptAfterWholeAnswersOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		kept   bool
+		fails  bool
+	}{
+		"whole":       {answer("1", "ok"), true, false},
+		"chunked":     {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true, false},
+		"closing":     {"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false, false},
+		"more":        {answer("1", "ok") + answer("1", "no"), false, false},
+		"cut":         {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok", false, true},
+		"no length":   {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok", false, false},
+		"another's":   {answer("0", "no") + answer("1", "ok"), false, false},
+		"only others": {answer("0", "no"), false, true},
+		"garbage":     {"\x00\x01\x02 what\r\n\r\n", false, true},
+		"informed":    {"HTTP/1.1 103 Early Hints\r\n\r\n" + answer("1", "ok"), true, false},
+		"switching":   {"HTTP/1.1 101 Switching Protocols\r\n\r\n", false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body, _, kept, err := exchange(newDialer(t), upstream(t, c.answer), "1")
+			is.Equal(err != nil, c.fails)
+			is.Equal(kept, c.kept)
+			if !c.fails {
+				is.Equal(body, "ok")
+			}
+		})
+	}
+}
+
+func TestAKeptConnectionThatClosedOrSpokeIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	d := newDialer(t)
+	replica := upstream(t, answer("1", "ok")) // closes after one
+	for range 3 {
+		body, used, _, err := exchange(d, replica, "1")
+		is.NoErr(err)
+		is.Equal(body, "ok")
+		is.True(!used)
+		time.Sleep(20 * time.Millisecond) // for the close to arrive
+	}
+}
+
+func TestAnotherIncarnationGetsANewConnection(t *testing.T) {
+	is := is.New(t)
+	d := newDialer(t)
+	replica := upstream(t, answer("1", "ok"), answer("1", "ok"), answer("1", "ok"))
+	_, _, kept, err := exchange(d, replica, "1")
+	is.NoErr(err)
+	is.True(kept)
+	_, used, _, err := exchange(d, replica, "1")
+	is.NoErr(err)
+	is.True(used)
+	replica.Born = 2
+	_, used, _, err = exchange(d, replica, "1")
+	is.NoErr(err)
+	is.True(!used)
+}
+
+func TestARefusedDialIsTold(t *testing.T) {
+	is := is.New(t)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(socket.Close())
+	_, _, _, err = exchange(newDialer(t), server.Replica{ID: "i", Address: socket.Addr().String()}, "1")
+	is.True(errors.Is(err, server.ErrUnavailable))
+}
+
+// FuzzAnswer feeds bytes as an upstream's: no panic, and no answer of another request.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(answer("1", "ok")))
+	f.Add([]byte(answer("0", "no") + answer("1", "ok")))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		timer := ticker.New()
+		defer timer.Close()
+		d := dialer.New(timer, dialer.WithDial(func(context.Context, string) (net.Conn, error) { return near, nil }))
+		defer d.Close()
+		go func() {
+			_, _ = far.Write(data)
+			_ = far.Close()
+		}()
+		conn, err := d.Take(context.Background(), &server.Replica{}, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		response, err := conn.Answer("POST", "1", func(r *http.Response) string { return r.Header.Get("Id") })
+		if err == nil && response.Header.Get("Id") != "1" && response.StatusCode < http.StatusMultipleChoices {
+			t.Fatal("another request's answer")
+		}
+	})
+}
--- a/internal/server/linker/link.go
+++ b/internal/server/linker/link.go
@@ -48,8 +48,8 @@
 	return config
 }
 
-// open dials a member and greets it.
-func (l *Linker) open(ctx context.Context, instance server.Instance) (*link, error) {
+// connect dials a member and greets it.
+func (l *Linker) connect(ctx context.Context, instance server.Instance) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := l.dial(ctx, instance.Address)
@@ -117,6 +117,12 @@
 
 // run serves a link's streams and watches it until it ends.
 func (l *Linker) run(link *link) {
+	l.mu.Lock()
+	l.open[link] = true
+	if l.ctx.Err() != nil {
+		_ = link.session.Close()
+	}
+	l.mu.Unlock()
 	l.work.Go(func() {
 		for {
 			stream, err := link.session.AcceptStream()
@@ -134,6 +140,9 @@
 	go func() {
 		<-link.session.CloseChan()
 		stop()
+		l.mu.Lock()
+		delete(l.open, link)
+		l.mu.Unlock()
 	}()
 }
 
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -35,9 +35,11 @@
 	lost    func(id string, since time.Time)
 	mu      sync.Mutex
 	members map[string]*member
-	ctx     context.Context
-	cancel  context.CancelFunc
-	work    sync.WaitGroup
+	// open are all links, those too that no member uses any more.
+	open   map[*link]bool
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
 }
 
 // member is another instance.
@@ -69,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	network := &net.Dialer{Timeout: dialTimeout}
 	l := &Linker{
-		log: log, timer: timer, self: self, socket: socket, members: make(map[string]*member),
+		log: log, timer: timer, self: self, socket: socket, members: make(map[string]*member), open: make(map[*link]bool),
 		ctx: ctx, cancel: cancel, lost: func(string, time.Time) {},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return network.DialContext(ctx, "tcp", address)
@@ -92,10 +94,8 @@
 	l.cancel()
 	_ = l.socket.Close()
 	l.mu.Lock()
-	for _, m := range l.members {
-		if m.link != nil {
-			_ = m.link.session.Close()
-		}
+	for link := range l.open {
+		_ = link.session.Close()
 	}
 	l.mu.Unlock()
 	l.work.Wait()
@@ -242,7 +242,7 @@
 	if known != nil && !known.session.IsClosed() {
 		return known, nil
 	}
-	fresh, err := l.open(ctx, instance)
+	fresh, err := l.connect(ctx, instance)
 	if err != nil {
 		if ctx.Err() == nil {
 			l.fail(id, known, err)
@@ -303,7 +303,7 @@
 
 // revived makes one dial and reports whether the search is over.
 func (l *Linker) revived(m *member) bool {
-	fresh, err := l.open(l.ctx, m.Instance)
+	fresh, err := l.connect(l.ctx, m.Instance)
 	if err == nil {
 		_, err = fresh.session.Ping()
 	}
@@ -324,8 +324,12 @@
 		return false
 	}
 	m.reviving = false
-	l.drop(m)
-	m.link = fresh
+	if m.link != nil && !m.link.session.IsClosed() {
+		// Calls are on the link that came first.
+		_ = fresh.session.Close()
+	} else {
+		m.link = fresh
+	}
 	if !m.down.IsZero() {
 		l.log.Info("instance regained", "instance", m.ID, "away_ms", l.timer.Now().Sub(m.down).Milliseconds())
 		m.down = time.Time{}
--- a/internal/server/relayer/flow.go
+++ b/internal/server/relayer/flow.go
@@ -124,15 +124,15 @@
 	}
 	f.priority, f.rank = router.Priority(f.route, f.tenant), router.Rank(f.route, f.tenant)
 	f.service = router.Service(f.route, f.traits.ID)
-	f.goal = f.arrived.Add(f.route.Goal - f.Relayer.patience.elapsed(f.route.Name, f.traits.Patience))
-	patience := maxPatience
+	f.goal = f.arrived.Add(f.route.Goal - f.patience.elapsed(f.route.Name, f.traits.Patience))
+	left := maxPatience
 	for _, bound := range [...]time.Duration{f.traits.Patience, f.route.Timeout} {
 		if bound > 0 {
-			patience = min(patience, bound)
+			left = min(left, bound)
 		}
 	}
-	f.deadline = f.arrived.Add(patience)
-	f.timeUp = f.Timer.After(patience, func(time.Time) { f.cancel(server.ErrLate) })
+	f.deadline = f.arrived.Add(left)
+	f.timeUp = f.Timer.After(left, func(time.Time) { f.cancel(server.ErrLate) })
 	f.events.last = f.traits.Resumes
 	return true
 }
