End a stream that has begun only by its own events or by a cut, and give silent replicas up

The table did not know that a part of an answer had been passed on. Ruled out: the cut itself (no byte of the second event was passed on). A replica that is silent for long loses what may run twice to another one.

--- a/internal/server/chooser/chooser.go
+++ b/internal/server/chooser/chooser.go
@@ -191,6 +191,14 @@
 	return false
 }
 
+// Usual returns the usual time to the beginning of a service's answers; zero
+// before the first.
+func (c *Chooser) Usual(service string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heads[service]
+}
+
 func (g *gauge) fade(now time.Time) {
 	for step := now.Sub(g.seen); step >= failHalf; step -= failHalf {
 		g.failing /= 2
@@ -222,6 +230,9 @@
 	u.headed = true
 	if !head.Refused {
 		took := now.Sub(u.began)
+		if c.heads[u.service] == 0 {
+			c.heads[u.service] = took
+		}
 		c.heads[u.service] += time.Duration(headGain * float64(took-c.heads[u.service]))
 	}
 	if g := c.replicas[u.id]; g != nil && head.Loaded {
--- a/internal/server/relayer/answer.go
+++ b/internal/server/relayer/answer.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/chooser"
 	"oriolemill.example/oriolemill/internal/server/exchanger"
@@ -22,6 +24,15 @@
 	wholeLimit = 256 << 10
 	// copyBuffer is the size of reads of an answer.
 	copyBuffer = 16 << 10
+	// stalledTimes is how many times longer than usual an answer may take to begin
+	// before another replica is asked, where that does no harm; stalledPlain and
+	// stalledStream are the least of it.
+	stalledTimes  = 8
+	stalledPlain  = 400 * time.Millisecond
+	stalledStream = time.Second
+	// stalledGaps is how many times longer than the route's gap a stream may be
+	// silent before another replica goes on with it.
+	stalledGaps = 4
 	// urgencies is the number of an engine's ranks.
 	urgencies = 10
 )
@@ -38,7 +49,12 @@
 	f.tried = append(f.tried, replica.ID)
 	f.replica = replica.ID
 	use := f.Chooser.Begin(replica)
-	answer, sent, err := f.Exchanger.Do(f.ctx, replica, f.request(replica))
+	ctx, cancel := context.WithCancelCause(f.ctx)
+	defer cancel(nil)
+	f.sending, f.stalled = ctx, func() { cancel(errStalled) }
+	f.watch(f.firstBound())
+	defer f.unwatch()
+	answer, sent, err := f.Exchanger.Do(ctx, replica, f.request(replica))
 	if sent != server.SentNo {
 		f.attempts++
 		f.arrivals++
@@ -62,6 +78,31 @@
 	return result
 }
 
+// errStalled ends an attempt that another replica may take over.
+var errStalled = merry.New("the replica fell silent")
+
+// watch ends the attempt after a time without a word of the replica, where
+// another replica may go on; zero watches nothing.
+func (f *flow) watch(bound time.Duration) {
+	f.unwatch()
+	if bound > 0 && f.route.Repeatable() && f.attempts < f.route.Attempts-1 {
+		f.unwatch = f.Timer.After(bound, func(time.Time) { f.stalled() })
+	}
+}
+
+// firstBound is how long an answer may take to begin.
+func (f *flow) firstBound() time.Duration {
+	least := stalledPlain
+	if f.route.Kind == server.KindStream {
+		least = stalledStream
+	}
+	usual := f.Chooser.Usual(f.service)
+	if usual == 0 {
+		return 0
+	}
+	return max(stalledTimes*usual, least)
+}
+
 func (f *flow) request(replica *server.Replica) *exchanger.Request {
 	send := server.Send{Replica: replica.ID, Left: max(f.left(), time.Millisecond), Urgency: -1}
 	if f.tenant != nil {
@@ -87,8 +128,12 @@
 // unanswered tells what an attempt without an answer has shown.
 func (f *flow) unanswered(use *chooser.Use, sent server.Sent, err error) fate {
 	f.reason = err.Error()
-	cause := context.Cause(f.ctx)
+	cause := context.Cause(f.sending)
 	switch {
+	case errors.Is(cause, errStalled):
+		use.End(chooser.Bad)
+		f.reason = cause.Error()
+		return fateSilent
 	case errors.Is(cause, context.Canceled):
 		use.End(chooser.Neutral)
 		f.leave("the client left before an answer")
@@ -160,8 +205,11 @@
 
 // cut tells what an answer that broke off has shown; nothing was passed on.
 func (f *flow) cut(err error) fate {
-	cause := context.Cause(f.ctx)
+	cause := context.Cause(f.sending)
 	switch {
+	case errors.Is(cause, errStalled):
+		f.reason = cause.Error()
+		return fateCut
 	case errors.Is(cause, context.Canceled):
 		f.leave("the client left before the answer was whole")
 		return fateGone
@@ -229,9 +277,12 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		whole, count := f.events.take(buffer[:n])
-		if count > 0 && !f.emit(answer, whole) {
-			answer.Close(false)
-			return fateGone
+		if count > 0 {
+			if !f.emit(answer, whole) {
+				answer.Close(false)
+				return fateGone
+			}
+			f.watch(max(stalledGaps*f.route.Gap, stalledStream))
 		}
 		if len(f.events.rest()) > eventsLimit {
 			err = errors.New("an event is longer than the limit")
@@ -287,7 +338,10 @@
 		return f.cut(err)
 	}
 	f.reason = "the stream broke off: " + err.Error()
-	switch cause := context.Cause(f.ctx); {
+	switch cause := context.Cause(f.sending); {
+	case errors.Is(cause, errStalled):
+		f.reason = cause.Error()
+		return fateBroken
 	case errors.Is(cause, context.Canceled):
 		f.leave("the client left during the stream")
 		return fateGone
--- a/internal/server/relayer/flow.go
+++ b/internal/server/relayer/flow.go
@@ -62,6 +62,11 @@
 	goal     time.Time
 	deadline time.Time
 	timeUp   func()
+	// sending is the context of the attempt in progress, stalled ends it and
+	// unwatch stops the watch over its silence.
+	sending  context.Context
+	stalled  func()
+	unwatch  func()
 	results  *stager.Results
 	tried    []string
 	attempts int
@@ -85,7 +90,7 @@
 func newFlow(l *Relayer, w http.ResponseWriter, r *http.Request) *flow {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	return &flow{
-		Relayer: l, w: w, r: r, ctx: ctx, cancel: cancel, view: l.View(), arrived: l.Timer.Now(), timeUp: func() {}, outcome: "unknown",
+		Relayer: l, w: w, r: r, ctx: ctx, cancel: cancel, view: l.View(), arrived: l.Timer.Now(), timeUp: func() {}, unwatch: func() {}, outcome: "unknown",
 	}
 }
 
@@ -176,7 +181,7 @@
 // follow does what the verdict on an attempt says.
 func (f *flow) follow(result fate, replica *server.Replica, took time.Duration) bool {
 	s := standing{
-		repeatable: f.route.Repeatable(), mayHaveRun: f.mayRun, attempts: f.route.Attempts - f.attempts,
+		repeatable: f.route.Repeatable(), begun: f.begun, mayHaveRun: f.mayRun, attempts: f.route.Attempts - f.attempts,
 		tries: maxTries - f.tries, time: f.left() > minLeft && f.ctx.Err() == nil,
 	}
 	v := judge(result, s)
--- a/internal/server/relayer/verdict.go
+++ b/internal/server/relayer/verdict.go
@@ -61,6 +61,9 @@
 type standing struct {
 	// repeatable requests may run more than once.
 	repeatable bool
+	// begun is set once a part of an answer was passed on: nothing may follow it
+	// but its continuation.
+	begun bool
 	// mayHaveRun is set once an attempt before this one may have run.
 	mayHaveRun bool
 	// attempts is how many more replicas it may be sent to, and tries how many
@@ -83,6 +86,18 @@
 // judge decides after an attempt. Only a request of which no attempt can have
 // run is refused; only one that may run twice is sent again after it may have.
 func judge(f fate, s standing) verdict {
+	v := decide(f, s)
+	if !s.begun {
+		return v
+	}
+	if v.action != actEnd && v.action != actAgain && v.action != actRemake {
+		v.action = actAbort
+	}
+	v.otherwise = actAbort
+	return v
+}
+
+func decide(f fate, s standing) verdict {
 	switch f {
 	case fateWhole, fateGone:
 		return verdict{action: actEnd}
--- a/internal/server/relayer/verdict_test.go
+++ b/internal/server/relayer/verdict_test.go
@@ -14,9 +14,9 @@
 	bools := []bool{false, true}
 	cases := 0
 	for f := fateUnsent; f <= fateGone; f++ {
-		for bits := range 1 << 5 {
+		for bits := range 1 << 6 {
 			s := standing{
-				repeatable: bools[bits&1], mayHaveRun: bools[bits>>1&1], attempts: bits >> 2 & 1, tries: bits >> 3 & 1, time: bools[bits>>4&1],
+				repeatable: bools[bits&1], mayHaveRun: bools[bits>>1&1], attempts: bits >> 2 & 1, tries: bits >> 3 & 1, time: bools[bits>>4&1], begun: bools[bits>>5&1],
 			}
 			v := judge(f, s)
 			cases++
@@ -29,7 +29,7 @@
 			}
 		}
 	}
-	is.Equal(cases, 11*32)
+	is.Equal(cases, 11*64)
 }
 
 func checkAction(is *is.I, f fate, s standing, v verdict, a action) {
@@ -49,6 +49,9 @@
 	if a == actFail {
 		is.True(v.status == http.StatusBadGateway || v.status == http.StatusGatewayTimeout) // promises nothing
 	}
+	if s.begun {
+		is.True(again || a == actAbort || a == actEnd) // a part of an answer is followed by nothing of our own
+	}
 	if f == fateBroken {
 		is.True(again || a == actAbort) // a part never looks whole
 	}
