Give back what a stopping owner of stage work has not begun

Cause: an owner that stopped went on with its queue beside the next one's, so both sent calls to the same replicas, which took the wait in their queues for slowness. Ruled out: links (all members were told at once).

--- a/internal/server/batcher/job.go
+++ b/internal/server/batcher/job.go
@@ -34,6 +34,9 @@
 	Failing server.Failing
 }
 
+// FailingMoved means that the owner stops and another one is to be asked.
+const FailingMoved server.Failing = "moved"
+
 // task is a job at its owner.
 type task struct {
 	*Job
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -58,6 +58,8 @@
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 	counts Counts
+	// retired is set once the instance stops: what has not begun is another's.
+	retired bool
 }
 
 // Counts tells what the owner did.
@@ -160,12 +162,35 @@
 	defer o.mu.Unlock()
 	s := o.shop(job.Service)
 	o.budget.Requested(job.Service, len(job.Pieces))
+	if o.retired {
+		done(Result{Failing: FailingMoved})
+		return
+	}
 	t := &task{Job: job, handles: make([]string, len(job.Pieces)), left: len(job.Pieces), done: done, enqueued: o.timer.Now()}
 	s.queue.add(t)
 	s.tasks[job.Request] = append(s.tasks[job.Request], t)
 	o.dispatch(s)
 }
 
+// Retire gives the jobs of which no piece has begun back to those who asked,
+// for the next owner, and finishes the others.
+func (o *Owner) Retire() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.retired = true
+	for _, s := range o.shops {
+		waiting := make(map[*task]int)
+		for _, i := range s.queue.items {
+			waiting[i.task]++
+		}
+		for t, n := range waiting {
+			if n == len(t.Pieces) {
+				o.end(s, t, FailingMoved)
+			}
+		}
+	}
+}
+
 // end tells a task's result and frees what nobody wants; mu is held.
 func (o *Owner) end(s *shop, t *task, failing server.Failing) {
 	if t.ended {
--- a/internal/server/batcher/owner_test.go
+++ b/internal/server/batcher/owner_test.go
@@ -217,6 +217,27 @@
 	})
 }
 
+// TestAStopGivesBackWhatHasNotBegun has an owner stop with one call in progress.
+func TestAStopGivesBackWhatHasNotBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &replicas{}
+		o := newTestOwner(t, r, true, 1)
+		results := make(chan string, 3)
+		submit := func(request string, pieces int) {
+			o.Submit(testJob(request, pieces), func(r Result) { results <- request + string(r.Failing) })
+		}
+		submit("a", 6) // four pieces are in the call
+		submit("b", 2)
+		o.Retire()
+		submit("c", 1)
+		is.Equal(<-results, "bmoved")
+		is.Equal(<-results, "cmoved")
+		is.Equal(<-results, "a")
+		is.Equal(r.calls, 2)
+	})
+}
+
 func TestNoReplicaEndsTheJobInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/server/batcher/sharer.go
+++ b/internal/server/batcher/sharer.go
@@ -31,6 +31,8 @@
 	Owner(name string) string
 	Call(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error)
 	Tell(ctx context.Context, id string, frame *encoder.Frame) error
+	// Leaving notes that an instance said that it stops.
+	Leaving(id string)
 }
 
 // Sharer sends jobs to the owners of their services.
@@ -60,26 +62,33 @@
 	return &Sharer{log: log, timer: timer, links: links, owner: owner, releases: make(map[string][]string), told: make(map[string]told)}
 }
 
-// Make returns the results of a job. The error is set when no owner answered or
-// ctx ended.
+// Make returns the results of a job. The error is set when ctx ended.
 func (s *Sharer) Make(ctx context.Context, job *Job) (Result, error) {
-	var last error
 	for range maxOwners {
 		owner := s.links.Owner(job.Service)
-		if owner == s.links.Self().ID {
-			return s.local(ctx, job)
-		}
-		result, err := s.remote(ctx, owner, job)
-		if err == nil || ctx.Err() != nil {
+		result, err := s.ask(ctx, owner, job)
+		if ctx.Err() != nil || err == nil && result.Failing != FailingMoved {
 			return result, err
 		}
-		last = err
-		s.log.Info("owner of the stage service lost, asking the next", "request", job.Request, "service", job.Service, "owner", owner, "cause", err.Error())
+		cause := "it stops"
+		if err != nil {
+			cause = err.Error()
+		} else if owner != s.links.Self().ID {
+			s.links.Leaving(owner)
+		}
+		s.log.Info("owner of the stage service lost, asking the next", "request", job.Request, "service", job.Service, "owner", owner, "cause", cause)
 	}
-	s.log.Info("no owner answers, batching alone", "request", job.Request, "service", job.Service, "cause", last.Error())
+	s.log.Info("no owner answers", "request", job.Request, "service", job.Service)
 	return s.local(ctx, job)
 }
 
+func (s *Sharer) ask(ctx context.Context, owner string, job *Job) (Result, error) {
+	if owner == s.links.Self().ID {
+		return s.local(ctx, job)
+	}
+	return s.remote(ctx, owner, job)
+}
+
 func (s *Sharer) local(ctx context.Context, job *Job) (Result, error) {
 	done := make(chan Result, 1)
 	s.owner.Submit(job, func(r Result) { done <- r })
--- a/internal/server/composer/stop.go
+++ b/internal/server/composer/stop.go
@@ -7,7 +7,6 @@
 
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/drainer"
-	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
 	"oriolemill.example/oriolemill/internal/server/registrar"
 )
 
@@ -56,7 +55,8 @@
 	i.stopping.Store(true)
 	i.relayer.Leave()
 	i.log.Info("stopping", "requests", i.relayer.Active())
-	i.linker.Broadcast(&encoder.Frame{Body: &encoder.Frame_Leaving{Leaving: &encoder.Leaving{}}})
+	i.linker.Leave()
+	i.owner.Retire()
 	i.work.Go(func() {
 		ctx, cancel := context.WithTimeout(i.ctx, leaveTimeout)
 		defer cancel()
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -36,10 +36,12 @@
 	mu      sync.Mutex
 	members map[string]*member
 	// open are all links, those too that no member uses any more.
-	open   map[*link]bool
-	ctx    context.Context
-	cancel context.CancelFunc
-	work   sync.WaitGroup
+	open map[*link]bool
+	// stopping is set once this instance stops: others own what it owned.
+	stopping bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
 }
 
 // member is another instance.
@@ -146,16 +148,28 @@
 	}
 }
 
-// Up returns the instances that answer, this one included, by ID.
+// Leave tells all linked members that this instance stops.
+func (l *Linker) Leave() {
+	l.mu.Lock()
+	l.stopping = true
+	l.mu.Unlock()
+	l.Broadcast(&encoder.Frame{Body: &encoder.Frame_Leaving{Leaving: &encoder.Leaving{}}})
+}
+
+// Up returns the instances that answer and do not stop, by ID: this one too,
+// unless it stops and there is another.
 func (l *Linker) Up() []server.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := []server.Instance{l.self}
+	var list []server.Instance
 	for _, m := range l.members {
 		if m.down.IsZero() && !m.leaving {
 			list = append(list, m.Instance)
 		}
 	}
+	if !l.stopping || len(list) == 0 {
+		list = append(list, l.self)
+	}
 	slices.SortFunc(list, func(a, b server.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
