Tell the next owner of stage work what its replicas hold

Cause: a new owner knew nothing of the results in its replicas' memory, so its calls came back without room (up to 117 pieces in 2 s while instances stop in turn).

--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
 )
 
 const (
@@ -25,6 +26,8 @@
 	// firstBlock and lastBlock bound how long a failing replica gets no call.
 	firstBlock = 300 * time.Millisecond
 	lastBlock  = 3 * time.Second
+	// maxUnknown bounds the results that are remembered as freed early.
+	maxUnknown = 4096
 	// maxTries bounds the calls that a piece is part of.
 	maxTries = 4
 )
@@ -58,6 +61,8 @@
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 	counts Counts
+	// next takes what a service's replicas hold to its next owner.
+	next func(*encoder.Holdings)
 	// retired is set once the instance stops: what has not begun is another's.
 	retired bool
 }
@@ -74,14 +79,16 @@
 	// tasks are those that have not ended, by request.
 	tasks map[string][]*task
 	frees map[string][]string
-	armed bool
-	wake  func()
+	// unknown are results that were freed before this owner heard of them.
+	unknown map[string]time.Time
+	armed   bool
+	wake    func()
 }
 
 // NewOwner returns an Owner of nothing.
 func NewOwner(log logr.Logger, timer server.Timer, caller Caller, budget Budget) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Owner{log: log, timer: timer, caller: caller, budget: budget, shops: make(map[string]*shop), ctx: ctx, cancel: cancel}
+	return &Owner{log: log, timer: timer, caller: caller, budget: budget, shops: make(map[string]*shop), ctx: ctx, cancel: cancel, next: func(*encoder.Holdings) {}}
 }
 
 // Stop ends all calls.
@@ -133,7 +140,7 @@
 func (o *Owner) shop(name string) *shop {
 	s := o.shops[name]
 	if s == nil {
-		s = &shop{name: name, queue: newQueue(), tasks: make(map[string][]*task), frees: make(map[string][]string)}
+		s = &shop{name: name, queue: newQueue(), tasks: make(map[string][]*task), unknown: make(map[string]time.Time), frees: make(map[string][]string)}
 		o.shops[name] = s
 	}
 	return s
@@ -188,6 +195,7 @@
 				o.end(s, t, FailingMoved)
 			}
 		}
+		o.handOver(s)
 	}
 }
 
@@ -254,10 +262,12 @@
 func (o *Owner) free(s *shop, handles []string) {
 	for _, handle := range handles {
 		address := o.caller.Keeper(handle)
+		known := false
 		for _, b := range s.queue.benches {
-			if b.Address == address {
-				b.release(handle)
-			}
+			known = b.Address == address && b.release(handle) || known
+		}
+		if !known && len(s.unknown) < maxUnknown {
+			s.unknown[handle] = o.timer.Now()
 		}
 		s.frees[address] = append(s.frees[address], handle)
 	}
@@ -375,6 +385,9 @@
 		c.bench.timed(now.Sub(began), s.queue.batch.Span(len(c.items)))
 		s.queue.took(now.Sub(began))
 		o.made(s, c, made, now)
+		if o.retired {
+			o.handLate(s, c, made, now)
+		}
 	}
 	o.dispatch(s)
 }
--- a/internal/server/batcher/owner_test.go
+++ b/internal/server/batcher/owner_test.go
@@ -238,6 +238,36 @@
 	})
 }
 
+// TestTheNextOwnerKnowsTheRoom has a stopping owner tell the next what replicas hold.
+func TestTheNextOwnerKnowsTheRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &replicas{}
+		o := newTestOwner(t, r, true, 2)
+		next := newTestOwner(t, r, true, 2)
+		o.next = next.TakeOver
+		made := await(o, testJob("a", 3))
+		early := await(o, testJob("d", 2))
+		next.Release("s", early.Handles) // before the next owner hears of them
+		o.Submit(testJob("b", 4), func(Result) {})
+		o.Retire()
+		synctest.Wait()
+		used := func() (bytes int64) {
+			for _, b := range next.shops["s"].queue.benches {
+				bytes += b.used
+			}
+			return bytes
+		}
+		is.Equal(used(), int64(300))
+		began := time.Now()
+		await(next, testJob("c", 8)) // one replica is busy for the owner before
+		is.Equal(time.Since(began), 300*time.Millisecond)
+		is.Equal(used(), int64(300+400+800))
+		next.Release("s", made.Handles)
+		is.Equal(used(), int64(400+800))
+	})
+}
+
 func TestNoReplicaEndsTheJobInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/server/batcher/sharer.go
+++ b/internal/server/batcher/sharer.go
@@ -59,7 +59,22 @@
 
 // NewSharer returns a Sharer; owner serves the services that are this instance's.
 func NewSharer(log logr.Logger, timer server.Timer, links Links, owner *Owner) *Sharer {
-	return &Sharer{log: log, timer: timer, links: links, owner: owner, releases: make(map[string][]string), told: make(map[string]told)}
+	s := &Sharer{log: log, timer: timer, links: links, owner: owner, releases: make(map[string][]string), told: make(map[string]told)}
+	owner.next = s.handOver
+	return s
+}
+
+// handOver takes what a service's replicas hold to the service's next owner.
+func (s *Sharer) handOver(holdings *encoder.Holdings) {
+	owner := s.links.Owner(holdings.GetService())
+	if owner == s.links.Self().ID {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	if err := s.links.Tell(ctx, owner, &encoder.Frame{Body: &encoder.Frame_Holdings{Holdings: holdings}}); err != nil {
+		s.log.Info("stage service not handed over; its next owner learns by refusals", "service", holdings.GetService(), "owner", owner, "cause", err.Error())
+	}
 }
 
 // Make returns the results of a job. The error is set when ctx ended.
--- a/internal/server/composer/share.go
+++ b/internal/server/composer/share.go
@@ -104,6 +104,8 @@
 		i.owner.Withdraw(body.Withdraw.GetService(), body.Withdraw.GetRequest())
 	case *encoder.Frame_Release:
 		i.owner.Release(body.Release.GetService(), body.Release.GetHandles())
+	case *encoder.Frame_Holdings:
+		i.owner.TakeOver(body.Holdings)
 	case *encoder.Frame_Coming:
 		i.sharer.Hear(body.Coming)
 	case *encoder.Frame_Rows:
