--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -15,7 +15,7 @@
 
 const (
 	// freeWait gathers results to free into one call.
-	freeWait = 25 * time.Millisecond
+	freeWait = 15 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
 	// overdueFactor and overdueExtra say when a call is given up.
@@ -255,7 +255,6 @@
 	defer o.mu.Unlock()
 	s := o.shop(service)
 	o.free(s, handles)
-	o.dispatch(s)
 }
 
 // free gathers results for a call that frees them; mu is held.
@@ -264,7 +263,8 @@
 		address := o.caller.Keeper(handle)
 		known := false
 		for _, b := range s.queue.benches {
-			known = b.Address == address && b.release(handle) || known
+			_, held := b.results[handle]
+			known = known || held
 		}
 		if !known && len(s.unknown) < maxUnknown {
 			s.unknown[handle] = o.timer.Now()
@@ -296,16 +296,28 @@
 	for address, handles := range frees {
 		// A replica that is gone has kept nothing.
 		if keeper := keepers[address]; keeper != nil {
-			calls.Go(func() {
-				if err := o.caller.Free(ctx, keeper, handles); err != nil {
-					o.log.Info("results not freed; they expire", "service", s.name, "replica", keeper.ID, "results", len(handles), "cause", err.Error())
-				}
-			})
+			calls.Go(func() { o.freed(s, keeper, handles, o.caller.Free(ctx, keeper, handles)) })
 		}
 	}
 	calls.Wait()
 }
 
+// freed gives the room of results back, once their replica has freed them.
+func (o *Owner) freed(s *shop, keeper *server.Replica, handles []string, err error) {
+	if err != nil {
+		o.log.Info("results not freed; they expire", "service", s.name, "replica", keeper.ID, "results", len(handles), "cause", err.Error())
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if b := s.queue.benches[keeper.ID]; b != nil {
+		for _, handle := range handles {
+			b.release(handle)
+		}
+	}
+	o.dispatch(s)
+}
+
 // dispatch starts every call that can be made; mu is held.
 func (o *Owner) dispatch(s *shop) {
 	now := o.timer.Now()
@@ -413,7 +425,7 @@
 		}
 	}
 	if len(noRoom) > 0 {
-		c.bench.full(s.queue.batch.Room, now)
+		c.bench.full(int64(len(noRoom))*noRoom[0].task.Bytes, now)
 		o.log.Info("replica had no room", "service", s.name, "replica", c.bench.ID, "pieces", len(noRoom), "used", c.bench.used, "room", s.queue.batch.Room)
 	}
 	o.again(s, append(again, noRoom...), "not made")
--- a/internal/server/batcher/owner_test.go
+++ b/internal/server/batcher/owner_test.go
@@ -253,6 +253,8 @@
 		o.Retire()
 		synctest.Wait()
 		used := func() (bytes int64) {
+			next.mu.Lock()
+			defer next.mu.Unlock()
 			for _, b := range next.shops["s"].queue.benches {
 				bytes += b.used
 			}
@@ -264,6 +266,9 @@
 		is.Equal(time.Since(began), 300*time.Millisecond)
 		is.Equal(used(), int64(300+400+800))
 		next.Release("s", made.Handles)
+		is.Equal(used(), int64(300+400+800)) // until the replica has freed them
+		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(used(), int64(400+800))
 	})
 }
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -84,31 +84,28 @@
 	}
 }
 
-// release forgets a result and reports whether it was known.
-func (b *bench) release(handle string) bool {
-	r, ok := b.results[handle]
-	if ok {
+// release forgets a result.
+func (b *bench) release(handle string) {
+	if r, ok := b.results[handle]; ok {
 		b.used -= r.bytes
 		delete(b.results, handle)
 	}
-	return ok
 }
 
-// full notes that the replica had no room for a piece.
-func (b *bench) full(room int64, now time.Time) {
-	b.foreign = max(room-b.used, 0)
+// full notes that the replica had no room for bytes that were believed to fit.
+func (b *bench) full(bytes int64, now time.Time) {
+	b.foreign = b.believed(now) + bytes
 	b.foreignAt = now
 }
 
-// room returns the room that is believed to be left.
-func (b *bench) room(room int64, now time.Time) int64 {
-	if b.foreign > 0 {
-		halves := now.Sub(b.foreignAt) / foreignHalf
-		return room - b.used - b.foreign>>min(halves, 62)
-	}
-	return room - b.used
+// believed is the room that results of others are believed to take still.
+func (b *bench) believed(now time.Time) int64 {
+	return b.foreign >> min(now.Sub(b.foreignAt)/foreignHalf, 62)
 }
 
+// room returns the room that is believed to be left.
+func (b *bench) room(room int64, now time.Time) int64 { return room - b.used - b.believed(now) }
+
 // span is the expected time of a call with n pieces.
 func (b *bench) span(batch *server.Batch, n int) time.Duration {
 	return time.Duration(b.pace * float64(batch.Span(n)))
--- a/internal/server/batcher/queue_test.go
+++ b/internal/server/batcher/queue_test.go
@@ -112,7 +112,8 @@
 	is := is.New(t)
 	q := newTestQueue(1)
 	b := q.benches["i-0"]
-	b.full(q.batch.Room, start) // results of an owner before this one
+	b.full(q.batch.Room/2, start) // results of an owner before this one
+	b.full(q.batch.Room/2, start)
 	is.Equal(b.room(q.batch.Room, start), int64(0))
 	is.True(b.room(q.batch.Room, start.Add(foreignHalf)) >= q.batch.Room/2)
 	is.True(b.room(q.batch.Room, start.Add(time.Minute)) == q.batch.Room)
