--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -23,6 +23,8 @@
 	overdueExtra  = 250 * time.Millisecond
 	// fullWait is how long a replica that was full gets no call.
 	fullWait = 40 * time.Millisecond
+	// roomWait is how long a replica without any room gets no call.
+	roomWait = 250 * time.Millisecond
 	// firstBlock and lastBlock bound how long a failing replica gets no call.
 	firstBlock = 300 * time.Millisecond
 	lastBlock  = 3 * time.Second
@@ -424,10 +426,17 @@
 			o.end(s, t, made[n].Failing)
 		}
 	}
+	if len(noRoom) == len(c.items) {
+		// Results that nobody here knows fill the replica until they expire.
+		c.bench.blocked = now.Add(roomWait)
+	}
 	if len(noRoom) > 0 {
 		c.bench.full(int64(len(noRoom))*noRoom[0].task.Bytes, now)
 		o.log.Info("replica had no room", "service", s.name, "replica", c.bench.ID, "pieces", len(noRoom), "used", c.bench.used, "room", s.queue.batch.Room)
 	}
+	for _, i := range noRoom {
+		i.tries-- // it was not tried
+	}
 	o.again(s, append(again, noRoom...), "not made")
 }
 
--- a/internal/server/batcher/owner_test.go
+++ b/internal/server/batcher/owner_test.go
@@ -200,6 +200,31 @@
 	})
 }
 
+// TestAFullReplicaIsLeftAloneForAWhile has a replica hold results of an owner
+// before this one for two seconds.
+func TestAFullReplicaIsLeftAloneForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		r := &replicas{answer: func(_ int, _ string, pieces []server.Piece) ([]server.Made, error) {
+			if time.Since(began) > 2*time.Second {
+				return nil, nil
+			}
+			made := make([]server.Made, len(pieces))
+			for i := range made {
+				made[i].Failing = server.FailingRoom
+			}
+			return made, nil
+		}}
+		o := newTestOwner(t, r, true, 1)
+		job := testJob("a", 4)
+		job.Goal = time.Now().Add(4 * time.Second)
+		result := await(o, job)
+		is.Equal(result.Failing, server.Failing("")) // it waited, and was not given up after a few calls
+		is.True(r.calls <= 8)
+	})
+}
+
 func TestAWithdrawnJobLeavesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -65,11 +65,13 @@
 	asides    []*http.Server
 	stopping  atomic.Bool
 	ready     atomic.Bool
-	announced sync.Mutex
-	putting   atomic.Bool
-	ctx       context.Context
-	cancel    context.CancelFunc
-	work      sync.WaitGroup
+	// following guards the parts that follow views against views out of order.
+	following  sync.Mutex
+	announcing atomic.Bool
+	putting    atomic.Bool
+	ctx        context.Context
+	cancel     context.CancelFunc
+	work       sync.WaitGroup
 }
 
 // New puts an instance together and opens its sockets; Start begins to serve.
@@ -86,6 +88,7 @@
 	}
 	i.self = server.Instance{
 		ID: settings.ID, Address: settings.Peers.String(), Datacentre: settings.Datacentre, Born: timer.Now().UnixMilli(),
+		Strength: settings.Strength(),
 	}
 	i.registrar = registrar.New(log, timer, adapter.Decoder, settings.Tables, registrar.WithChanged(i.changed))
 	i.linker = linker.New(log, timer, i.self, sockets.peers, linker.WithLost(i.prune))
--- a/internal/server/composer/settings.go
+++ b/internal/server/composer/settings.go
@@ -28,8 +28,10 @@
 	Store string
 	// Memory bounds the process in bytes.
 	Memory int64
-	Tables Tables
-	Bounds Bounds
+	// Processor is the instance's part of a core, Link its megabits a second.
+	Processor, Link float64
+	Tables          Tables
+	Bounds          Bounds
 }
 
 // Bounds are the times and parts that the deployment holds to.
@@ -42,3 +44,10 @@
 	Ratio, Slack float64
 	Window       time.Duration
 }
+
+// enoughLink is the link in megabits a second from which more of it does not
+// help an owner of stage work: ten times what 2,000 pieces a second take.
+const enoughLink = 100
+
+// Strength says how much work for all the instance can do beside its own.
+func (s *Settings) Strength() float64 { return s.Processor * min(s.Link, enoughLink) / enoughLink }
--- a/internal/server/composer/share.go
+++ b/internal/server/composer/share.go
@@ -12,7 +12,9 @@
 
 const (
 	// newsWait is how long the store has to tell what another instance told.
-	newsWait = 150 * time.Millisecond
+	newsWait = 600 * time.Millisecond
+	// announceWait gathers changes into one word to the other instances.
+	announceWait = 100 * time.Millisecond
 	// rowsTimeout bounds the answer of another instance with a table.
 	rowsTimeout = 2 * time.Second
 	// pruneAfter is how long an instance must not answer until its row is
@@ -26,8 +28,8 @@
 
 // changed takes a new view to the parts that follow it.
 func (i *Instance) changed(view *registrar.View) {
-	i.announced.Lock()
-	defer i.announced.Unlock()
+	i.following.Lock()
+	defer i.following.Unlock()
 	i.linker.Follow(view.Instances())
 	if view.Ready() {
 		plan := view.Router().Plan()
@@ -37,12 +39,21 @@
 			i.log.Info("ready", "plan", plan.Version, "after_ms", i.timer.Now().UnixMilli()-i.self.Born)
 		}
 	}
+	if !i.announcing.Swap(true) {
+		i.timer.After(announceWait, func(time.Time) { go i.announce() })
+	}
+	i.rejoin(view)
+}
+
+// announce tells the other instances which versions are known here.
+func (i *Instance) announce() {
+	i.announcing.Store(false)
+	view := i.registrar.View()
 	news := &encoder.News{}
 	for _, name := range i.registrar.Names() {
 		news.Tables = append(news.Tables, &encoder.TableVersion{Table: name, Version: view.Version(name)})
 	}
-	go i.linker.Broadcast(&encoder.Frame{Body: &encoder.Frame_News{News: news}})
-	i.rejoin(view)
+	i.linker.Broadcast(&encoder.Frame{Body: &encoder.Frame_News{News: news}})
 }
 
 // rejoin writes the own row again when it is missing from a table that was read.
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -181,12 +181,23 @@
 	return len(l.members) + 1
 }
 
+// strongShare is the part of the greatest strength that owners have at least.
+const strongShare = 0.6
+
 // Owner returns the instance that answers for a name: the same on every
-// instance that sees the same members.
+// instance that sees the same members. Weak ones own nothing.
 func (l *Linker) Owner(name string) string {
+	up := l.Up()
+	strongest := 0.0
+	for _, instance := range up {
+		strongest = max(strongest, instance.Strength)
+	}
 	var best string
 	var most uint64
-	for _, instance := range l.Up() {
+	for _, instance := range up {
+		if instance.Strength < strongShare*strongest {
+			continue
+		}
 		if weight := xxhash.Sum64String(name + "\x00" + instance.ID); best == "" || weight > most {
 			best, most = instance.ID, weight
 		}
--- a/internal/server/linker/linker_test.go
+++ b/internal/server/linker/linker_test.go
@@ -107,6 +107,18 @@
 	}
 }
 
+func TestWeakInstancesOwnNothing(t *testing.T) {
+	is := is.New(t)
+	a, b, c := newInstance(t, "a", echo), newInstance(t, "b", echo), newInstance(t, "c", echo)
+	strong, weak := b.Self(), c.Self()
+	strong.Strength, weak.Strength = 0.8, 0.02
+	a.Follow([]server.Instance{a.Self(), strong, weak}) // a itself says nothing of its strength
+	eventually(t, "all are up", func() bool { return len(a.Up()) == 3 })
+	for i := range 20 {
+		is.Equal(a.Owner(string(rune('A'+i))), "b")
+	}
+}
+
 func TestADeadMemberIsDownAndComesBack(t *testing.T) {
 	is := is.New(t)
 	a, b := newInstance(t, "a", echo), newInstance(t, "b", echo)
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -15,6 +15,9 @@
 	// firstRetry and lastRetry bound the wait after a failed call.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 800 * time.Millisecond
+	// gatherWait is the pause after news, so that changes in quick succession come
+	// in one answer; the platform bounds how late a change may be by 2 s or more.
+	gatherWait = 200 * time.Millisecond
 	// quickAnswers is the number of watches answered in a row without news
 	// after which the follower waits, so that a faulty store is not flooded.
 	quickAnswers = 3
@@ -68,7 +71,11 @@
 	}
 	f.registrar.Follow(f.table, rows, version)
 	f.version = version
-	if len(rows) > 0 || f.registrar.timer.Now().Sub(began) > quickWait {
+	if len(rows) > 0 {
+		f.quick = 0
+		return gatherWait
+	}
+	if f.registrar.timer.Now().Sub(began) > quickWait {
 		f.quick = 0
 		return 0
 	}
@@ -86,7 +93,7 @@
 	f.succeed()
 	f.registrar.Replace(f.table, rows, version)
 	f.version, f.loaded = version, true
-	return 0
+	return gatherWait
 }
 
 // fail notes a failed call. After a gap the table is read whole, since a watch
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -163,7 +163,14 @@
 		return
 	}
 	r.plan, r.router = plan, router.New(plan)
-	r.log.Info("plan in force", "version", plan.Version, "store_version", row.Version, "routes", len(plan.Routes), "tenants", len(plan.Tenants))
+	r.log.Info("plan in force", "version", plan.Version, "store_version", row.Version, "routes", len(plan.Routes), "tenants", len(plan.Tenants), "keys", keys(plan))
+}
+
+func keys(plan *server.Plan) (count int) {
+	for i := range plan.Tenants {
+		count += len(plan.Tenants[i].Keys)
+	}
+	return count
 }
 
 func (r *Registrar) applyReplica(row server.StoredRow) {
--- a/internal/server/registrar/registrar_test.go
+++ b/internal/server/registrar/registrar_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -152,20 +153,26 @@
 
 // feed is a store whose answers the test sets.
 type feed struct {
+	mu      sync.Mutex
 	watches int
 	loads   int
 	answer  func(n int) ([]server.StoredRow, uint64, error)
 }
 
 func (f *feed) Load(context.Context, string) ([]server.StoredRow, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.loads++
 	return []server.StoredRow{row("config", fmt.Sprintf("plan %d", f.loads), uint64(f.loads))}, uint64(f.loads), nil
 }
 
 func (f *feed) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]server.StoredRow, uint64, error) {
+	f.mu.Lock()
 	f.watches++
+	n := f.watches
+	f.mu.Unlock()
 	if f.answer != nil {
-		return f.answer(f.watches)
+		return f.answer(n)
 	}
 	select {
 	case <-ctx.Done():
@@ -202,6 +209,19 @@
 	})
 }
 
+// TestChangesInQuickSuccessionComeTogether has a row change every 20 ms.
+func TestChangesInQuickSuccessionComeTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &feed{answer: func(n int) ([]server.StoredRow, uint64, error) {
+			time.Sleep(20 * time.Millisecond)
+			return []server.StoredRow{row("other", "", uint64(n+10))}, uint64(n + 10), nil
+		}}
+		run(t, f, 10*time.Second)
+		is.True(f.watches <= 3*50 && f.watches >= 3*40) // three tables, each 220 ms
+	})
+}
+
 func TestHistoryThatIsTooShortIsReadWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -134,6 +134,8 @@
 	Datacentre string `json:"datacentre"`
 	// Born is the Unix millisecond of its start.
 	Born int64 `json:"born"`
+	// Strength says how much work for all it can do beside its own.
+	Strength float64 `json:"strength"`
 }
 
 // Traits are what a client says of its request.
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -158,7 +158,7 @@
 	f.staged += f.Timer.Now().Sub(began)
 	f.Meter.Staged(f.route.Name, f.staged)
 	if err == nil {
-		f.results = results
+		f.results, f.stageTimes = results, stager.Milliseconds(results.Took())
 		return true
 	}
 	return f.unstaged(err)
--- a/internal/server/relayer/flow.go
+++ b/internal/server/relayer/flow.go
@@ -82,7 +82,9 @@
 	reason  string
 	replica string
 	staged  time.Duration
-	first   time.Duration
+	// stageTimes are those of each stage, for the line.
+	stageTimes string
+	first      time.Duration
 	// passed is a replica's whole failure, kept for when no other attempt is made.
 	passed *failure
 }
@@ -308,6 +310,6 @@
 	f.Meter.Ended(name, f.outcome, f.status, took)
 	f.Log.Info("request", "request", f.traits.ID, "route", name, "plan", plan, "tenant", tenant, "priority", f.priority, "rank", f.rank,
 		"patience_ms", f.traits.Patience.Milliseconds(), "service", f.service, "replica", f.replica, "outcome", f.outcome, "status", f.status, "reason", f.reason,
-		"attempts", f.attempts, "tries", f.tries, "took_ms", took.Milliseconds(), "staged_ms", f.staged.Milliseconds(),
+		"attempts", f.attempts, "tries", f.tries, "took_ms", took.Milliseconds(), "staged_ms", f.staged.Milliseconds(), "stage_ms", f.stageTimes,
 		"first_ms", f.first.Milliseconds(), "last_event", f.events.last)
 }
--- a/internal/server/stager/stager.go
+++ b/internal/server/stager/stager.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -66,9 +68,13 @@
 // Results are those that the request itself needs.
 type Results struct {
 	handles []string
+	took    []time.Duration
 	free    func()
 }
 
+// Took returns how long each stage's pieces took; zero for those without any.
+func (r *Results) Took() []time.Duration { return r.took }
+
 // Handles returns the results, by stage and piece.
 func (r *Results) Handles() []string { return r.handles }
 
@@ -82,11 +88,15 @@
 	}
 	for round := 1; ; round++ {
 		results, failing, err := s.round(ctx, request)
-		if err == nil || ctx.Err() != nil {
-			return results, err
+		if err == nil {
+			return results, nil
+		}
+		if ctx.Err() != nil {
+			return nil, err
 		}
 		again := failing == server.FailingGone && round < maxRounds && s.timer.Now().Before(request.Last)
-		s.log.Info("stages failed", "request", request.ID, "reason", string(failing), "round", round, "again", again, "cause", err.Error())
+		s.log.Info("stages failed", "request", request.ID, "reason", string(failing), "round", round, "again", again, "cause", err.Error(),
+			"stage_ms", Milliseconds(results.took))
 		if !again {
 			return nil, err
 		}
@@ -120,11 +130,21 @@
 	// leaf marks the stages that none follows.
 	leaf    []bool
 	failing server.Failing
+	took    []time.Duration
+}
+
+// Milliseconds puts the times of stages into a line.
+func Milliseconds(times []time.Duration) string {
+	words := make([]string, len(times))
+	for i, t := range times {
+		words[i] = strconv.FormatInt(t.Milliseconds(), 10)
+	}
+	return strings.Join(words, ",")
 }
 
 func (s *Stager) round(ctx context.Context, request *Request) (*Results, server.Failing, error) {
 	n := len(request.Stages)
-	r := &run{stager: s, request: request, made: make([]chan struct{}, n), handles: make([][]string, n), needed: make([]int, n), leaf: make([]bool, n)}
+	r := &run{stager: s, request: request, made: make([]chan struct{}, n), handles: make([][]string, n), needed: make([]int, n), leaf: make([]bool, n), took: make([]time.Duration, n)}
 	for i := range n {
 		r.made[i] = make(chan struct{})
 		r.leaf[i] = true
@@ -140,7 +160,7 @@
 	}
 	if err := group.Wait(); err != nil {
 		r.freeAll()
-		return nil, r.failing, err
+		return &Results{took: r.took}, r.failing, err
 	}
 	var last []string
 	for i := range n {
@@ -148,7 +168,7 @@
 			last = append(last, r.handles[i]...)
 		}
 	}
-	return &Results{handles: last, free: sync.OnceFunc(r.freeAll)}, "", nil
+	return &Results{handles: last, took: r.took, free: sync.OnceFunc(r.freeAll)}, "", nil
 }
 
 // announce tells the services of later stages what is coming.
@@ -172,7 +192,9 @@
 	}
 	job := r.job(i)
 	if len(job.Pieces) > 0 {
+		began := r.stager.timer.Now()
 		result, err := r.stager.maker.Make(ctx, job)
+		r.took[i] = r.stager.timer.Now().Sub(began)
 		if err != nil {
 			return err
 		}
