--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -10,14 +10,18 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch without news.
-	watchWait = 12 * time.Second
+	// watchWait is how long the store may hold a watch without news; memberWait is
+	// the same for the table of instances, whose news come over links too.
+	watchWait  = 12 * time.Second
+	memberWait = 25 * time.Second
 	// firstRetry and lastRetry bound the wait after a failed call.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 800 * time.Millisecond
 	// gatherWait is the pause after news, so that changes in quick succession come
 	// in one answer; the platform bounds how late a change may be by 2 s or more.
 	gatherWait = 200 * time.Millisecond
+	// memberGather is the same for the table of instances.
+	memberGather = time.Second
 	// quickAnswers is the number of watches answered in a row without news
 	// after which the follower waits, so that a faulty store is not flooded.
 	quickAnswers = 3
@@ -29,6 +33,8 @@
 	registrar *Registrar
 	feed      server.Feed
 	table     string
+	wait      time.Duration
+	gather    time.Duration
 	version   uint64
 	loaded    bool
 	failures  int
@@ -37,7 +43,11 @@
 }
 
 func newFollower(r *Registrar, feed server.Feed, table string) *follower {
-	return &follower{registrar: r, feed: feed, table: table}
+	f := &follower{registrar: r, feed: feed, table: table, wait: watchWait, gather: gatherWait}
+	if table == TableInstances {
+		f.wait, f.gather = memberWait, memberGather
+	}
+	return f
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -55,7 +65,7 @@
 		return f.load(ctx)
 	}
 	began := f.registrar.timer.Now()
-	rows, version, err := f.feed.Watch(ctx, f.table, f.version, watchWait)
+	rows, version, err := f.feed.Watch(ctx, f.table, f.version, f.wait)
 	if errors.Is(err, server.ErrNotFound) {
 		f.loaded = false
 		f.registrar.log.Info("history of the store is too short, reading the table whole", "table", f.table, "after", f.version)
@@ -73,7 +83,7 @@
 	f.version = version
 	if len(rows) > 0 {
 		f.quick = 0
-		return gatherWait
+		return f.gather
 	}
 	if f.registrar.timer.Now().Sub(began) > quickWait {
 		f.quick = 0
@@ -93,7 +103,7 @@
 	f.succeed()
 	f.registrar.Replace(f.table, rows, version)
 	f.version, f.loaded = version, true
-	return gatherWait
+	return f.gather
 }
 
 // fail notes a failed call. After a gap the table is read whole, since a watch
