--- a/internal/commander/edge.go
+++ b/internal/commander/edge.go
@@ -29,6 +29,10 @@
 	command.Flags().IntVar(&metrics, "metrics", 0, "port that counters are served at; 0 serves none")
 	command.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	command.RunE = func(command *cobra.Command, _ []string) error {
+		// From the first moment on, since the signal ends a process that ignores it.
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
+		defer signal.Stop(hangups)
 		settings, err := platform.Load(path)
 		if err != nil {
 			return newExit(exitUsage, err)
@@ -38,20 +42,17 @@
 			return err
 		}
 		settings.Metrics = metrics
-		return edge(command.Context(), settings, path, command.OutOrStdout())
+		return edge(command.Context(), settings, path, hangups, command.OutOrStdout())
 	}
 	return command
 }
 
-func edge(ctx context.Context, settings composer.Settings, path string, out io.Writer) error {
+func edge(ctx context.Context, settings composer.Settings, path string, hangups <-chan os.Signal, out io.Writer) error {
 	store := platform.NewStore(settings.Store)
 	instance, err := composer.New(settings, composer.Adapter{Wire: platform.Wire{}, Decoder: platform.Decoder{}, Feed: store}, out)
 	if err != nil {
 		return err
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	instance.Start()
 	instance.Watch(hangups, func() (composer.Settings, error) { return platform.Load(path) }, store.Move)
 	<-ctx.Done()
