--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -211,12 +211,12 @@
 // prune takes out what has ended and what is hopeless.
 func (q *queue) prune(now time.Time) []*item {
 	var hopeless []*item
-	shortest := q.shortest()
+	shortest, ahead := q.shortest(), q.ahead()
 	kept := q.items[:0]
 	for _, i := range q.items {
 		switch {
 		case i.task.ended:
-		case now.Add(shortest).After(i.task.Last), i.waitedLate(now, shortest):
+		case now.Add(shortest).After(i.task.Last), i.waitedLate(now, ahead):
 			hopeless = append(hopeless, i)
 		default:
 			kept = append(kept, i)
@@ -228,8 +228,8 @@
 }
 
 // waitedLate reports whether a piece that is late anyway has waited for long.
-func (i *item) waitedLate(now time.Time, shortest time.Duration) bool {
-	since := i.task.Goal.Add(-shortest)
+func (i *item) waitedLate(now time.Time, ahead time.Duration) bool {
+	since := i.task.Goal.Add(-ahead)
 	if since.Before(i.task.enqueued) {
 		since = i.task.enqueued
 	}
@@ -247,6 +247,12 @@
 	return time.Duration(min(pace, 1) * float64(q.batch.Span(1)))
 }
 
+// ahead is the time of the next call at the best replica, as full as the queue
+// makes it: what is due sooner cannot be on time any more.
+func (q *queue) ahead() time.Duration {
+	return time.Duration(q.best() * float64(q.batch.Span(min(max(len(q.items), 1), q.batch.Size))))
+}
+
 // idle returns the replicas that can take a call, the fastest first.
 func (q *queue) idle(now time.Time) []*bench {
 	var idle []*bench
@@ -265,7 +271,7 @@
 // sort orders pieces: those that can be on time before those that are late
 // anyway, then by rank, then by what is due first.
 func (q *queue) sort(now time.Time) {
-	soon := now.Add(q.shortest())
+	soon := now.Add(q.ahead())
 	late := func(i *item) int {
 		if soon.After(i.task.Goal) {
 			return 1
@@ -416,7 +422,7 @@
 		}
 		return times
 	}
-	soon := now.Add(q.shortest())
+	soon := now.Add(q.ahead())
 	counts := make([]int, ranks)
 	q.expected(counts, now)
 	for _, i := range q.items {
