--- a/internal/server/composer/settings.go
+++ b/internal/server/composer/settings.go
@@ -36,8 +36,6 @@
 
 // Bounds are the times and parts that the deployment holds to.
 type Bounds struct {
-	// Drain is the time in which a leaving replica gets no new work any more.
-	Drain time.Duration
 	// Grace is the time from SIGTERM to the end of the process.
 	Grace time.Duration
 	// Ratio and Slack bound repeats in each Window, over all instances.
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -163,12 +163,12 @@
 		return
 	}
 	r.plan, r.router = plan, router.New(plan)
-	r.log.Info("plan in force", "version", plan.Version, "store_version", row.Version, "routes", len(plan.Routes), "tenants", len(plan.Tenants), "keys", keys(plan))
+	r.log.Info("plan in force", "version", plan.Version, "store_version", row.Version, "routes", len(plan.Routes), "workspaces", len(plan.Workspaces), "keys", keys(plan))
 }
 
 func keys(plan *server.Plan) (count int) {
-	for i := range plan.Tenants {
-		count += len(plan.Tenants[i].Keys)
+	for i := range plan.Workspaces {
+		count += len(plan.Workspaces[i].Keys)
 	}
 	return count
 }
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -19,13 +19,13 @@
 	KindStream
 )
 
-// Plan is one version of the relayed routes, services and tenants.
+// Plan is one version of the relayed routes, services and workspaces.
 type Plan struct {
-	Version  uint64
-	Routes   []Route
-	Backends map[string]Backend
-	Tenants  []Tenant
-	Limits   Limits
+	Version    uint64
+	Routes     []Route
+	Backends   map[string]Backend
+	Workspaces []Workspace
+	Limits     Limits
 }
 
 // Route says where requests of one host and path prefix go.
@@ -100,8 +100,8 @@
 // Span returns the time of a call with n pieces.
 func (b *Batch) Span(n int) time.Duration { return b.Call + time.Duration(n)*b.Item }
 
-// Tenant is a holder of API keys.
-type Tenant struct {
+// Workspace is a holder of API keys.
+type Workspace struct {
 	Name string
 	Keys []string
 	// Priority replaces the route's; nil keeps it.
@@ -165,9 +165,9 @@
 
 // Send is what an instance says of a request when it passes it on.
 type Send struct {
-	Replica string
-	Tenant  string
-	Left    time.Duration
+	Replica   string
+	Workspace string
+	Left      time.Duration
 	// Inputs are the handles of the results that the request needs.
 	Inputs []string
 	// Urgency is the engine's rank from 0, or -1 to leave it out.
--- a/internal/server/relayer/answer.go
+++ b/internal/server/relayer/answer.go
@@ -105,8 +105,8 @@
 
 func (f *flow) request(replica *server.Replica) *exchanger.Request {
 	send := server.Send{Replica: replica.ID, Left: max(f.left(), time.Millisecond), Urgency: -1}
-	if f.tenant != nil {
-		send.Tenant = f.tenant.Name
+	if f.workspace != nil {
+		send.Workspace = f.workspace.Name
 	}
 	if f.results != nil {
 		send.Inputs = f.results.Handles()
--- a/internal/server/relayer/flow.go
+++ b/internal/server/relayer/flow.go
@@ -44,15 +44,15 @@
 // flow is one request on its way.
 type flow struct {
 	*Relayer
-	w        http.ResponseWriter
-	r        *http.Request
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	view     *registrar.View
-	traits   server.Traits
-	route    *server.Route
-	tenant   *server.Tenant
-	priority int
+	w         http.ResponseWriter
+	r         *http.Request
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	view      *registrar.View
+	traits    server.Traits
+	route     *server.Route
+	workspace *server.Workspace
+	priority  int
 	// rank is the request's place among all others.
 	rank    int
 	service string
@@ -112,7 +112,7 @@
 	}
 }
 
-// accept finds the request's route, tenant and service.
+// accept finds the request's route, workspace and service.
 func (f *flow) accept() bool {
 	if !f.view.Ready() {
 		return f.refuse("no configuration is known yet", startWait)
@@ -126,10 +126,10 @@
 		return f.reject(http.StatusNotFound, "no route for the host and path")
 	}
 	var ok bool
-	if f.tenant, ok = routes.Tenant(f.route, f.traits.Key); !ok {
+	if f.workspace, ok = routes.Workspace(f.route, f.traits.Key); !ok {
 		return f.reject(http.StatusUnauthorized, "the key is unknown")
 	}
-	f.priority, f.rank = router.Priority(f.route, f.tenant), router.Rank(f.route, f.tenant)
+	f.priority, f.rank = router.Priority(f.route, f.workspace), router.Rank(f.route, f.workspace)
 	f.service = router.Service(f.route, f.traits.ID)
 	f.goal = f.arrived.Add(f.route.Goal - f.patience.elapsed(f.route.Name, f.traits.Patience))
 	left := maxPatience
@@ -303,12 +303,12 @@
 	if f.view.Ready() {
 		plan = f.view.Router().Plan().Version
 	}
-	tenant := ""
-	if f.tenant != nil {
-		tenant = f.tenant.Name
+	workspace := ""
+	if f.workspace != nil {
+		workspace = f.workspace.Name
 	}
 	f.Meter.Ended(name, f.outcome, f.status, took)
-	f.Log.Info("request", "request", f.traits.ID, "route", name, "plan", plan, "tenant", tenant, "priority", f.priority, "rank", f.rank,
+	f.Log.Info("request", "request", f.traits.ID, "route", name, "plan", plan, "workspace", workspace, "priority", f.priority, "rank", f.rank,
 		"patience_ms", f.traits.Patience.Milliseconds(), "service", f.service, "replica", f.replica, "outcome", f.outcome, "status", f.status, "reason", f.reason,
 		"attempts", f.attempts, "tries", f.tries, "took_ms", took.Milliseconds(), "staged_ms", f.staged.Milliseconds(), "stage_ms", f.stageTimes,
 		"first_ms", f.first.Milliseconds(), "last_event", f.events.last)
--- a/internal/server/router/router.go
+++ b/internal/server/router/router.go
@@ -1,4 +1,4 @@
-// Package router finds the route and the tenant of a relayed request.
+// Package router finds the route and the workspace of a relayed request.
 package router
 
 import (
@@ -13,14 +13,14 @@
 
 // Router answers for one version of the plan. It never changes.
 type Router struct {
-	plan    *server.Plan
-	hosts   map[string][]*server.Route
-	tenants map[string]*server.Tenant
+	plan       *server.Plan
+	hosts      map[string][]*server.Route
+	workspaces map[string]*server.Workspace
 }
 
 // New returns the Router of a plan, which must not be changed any more.
 func New(plan *server.Plan) *Router {
-	r := &Router{plan: plan, hosts: make(map[string][]*server.Route), tenants: make(map[string]*server.Tenant)}
+	r := &Router{plan: plan, hosts: make(map[string][]*server.Route), workspaces: make(map[string]*server.Workspace)}
 	for i := range plan.Routes {
 		route := &plan.Routes[i]
 		host := strings.ToLower(route.Host)
@@ -29,9 +29,9 @@
 	for _, routes := range r.hosts {
 		slices.SortStableFunc(routes, func(a, b *server.Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	for i := range plan.Tenants {
-		for _, key := range plan.Tenants[i].Keys {
-			r.tenants[key] = &plan.Tenants[i]
+	for i := range plan.Workspaces {
+		for _, key := range plan.Workspaces[i].Keys {
+			r.workspaces[key] = &plan.Workspaces[i]
 		}
 	}
 	return r
@@ -59,36 +59,36 @@
 	return nil
 }
 
-// Tenant returns the tenant that holds a key. The result is nil on routes that
+// Workspace returns the workspace that holds a key. The result is nil on routes that
 // need none; ok is false where one is needed and the key is unknown.
-func (r *Router) Tenant(route *server.Route, key string) (tenant *server.Tenant, ok bool) {
-	tenant = r.tenants[key]
-	if len(r.plan.Tenants) == 0 || route.Public {
-		return tenant, true
+func (r *Router) Workspace(route *server.Route, key string) (workspace *server.Workspace, ok bool) {
+	workspace = r.workspaces[key]
+	if len(r.plan.Workspaces) == 0 || route.Public {
+		return workspace, true
 	}
-	return tenant, tenant != nil
+	return workspace, workspace != nil
 }
 
-// Priority returns the rank of a tenant's request on a route.
-func Priority(route *server.Route, tenant *server.Tenant) int {
-	if tenant != nil && tenant.Priority != nil {
-		return *tenant.Priority
+// Priority returns the rank of a workspace's request on a route.
+func Priority(route *server.Route, workspace *server.Workspace) int {
+	if workspace != nil && workspace.Priority != nil {
+		return *workspace.Priority
 	}
 	return route.Priority
 }
 
 // Ranks is the number of ranks in which requests are served; perPriority of them
-// share a tenant's priority.
+// share a workspace's priority.
 const (
 	Ranks       = 16
 	perPriority = 4
 )
 
-// Rank returns the place of a tenant's request among all others, from 0: first by
+// Rank returns the place of a workspace's request among all others, from 0: first by
 // the priority that holds, then by that of its route.
-func Rank(route *server.Route, tenant *server.Tenant) int {
+func Rank(route *server.Route, workspace *server.Workspace) int {
 	last := perPriority - 1
-	return min(max(Priority(route, tenant), 0), last)*perPriority + min(max(route.Priority, 0), last)
+	return min(max(Priority(route, workspace), 0), last)*perPriority + min(max(route.Priority, 0), last)
 }
 
 // Service returns the service for a request. The same attempt always goes to
--- a/internal/server/router/router_test.go
+++ b/internal/server/router/router_test.go
@@ -34,26 +34,26 @@
 	}
 }
 
-func TestKeysNameTenantsAndRanks(t *testing.T) {
+func TestKeysNameWorkspacesAndRanks(t *testing.T) {
 	is := is.New(t)
 	first := 0
 	r := router.New(&server.Plan{
-		Routes:  []server.Route{{Name: "closed", Priority: 2}, {Name: "open", Public: true, Priority: 2}},
-		Tenants: []server.Tenant{{Name: "t", Keys: []string{"k1", "k2"}, Priority: &first}, {Name: "u", Keys: []string{"k3"}}},
+		Routes:     []server.Route{{Name: "closed", Priority: 2}, {Name: "open", Public: true, Priority: 2}},
+		Workspaces: []server.Workspace{{Name: "t", Keys: []string{"k1", "k2"}, Priority: &first}, {Name: "u", Keys: []string{"k3"}}},
 	})
 	closed, open := &r.Plan().Routes[0], &r.Plan().Routes[1]
-	tenant, ok := r.Tenant(closed, "k2")
+	workspace, ok := r.Workspace(closed, "k2")
 	is.True(ok)
-	is.Equal(tenant.Name, "t")
-	is.Equal(router.Priority(closed, tenant), 0)
-	tenant, ok = r.Tenant(closed, "k3")
+	is.Equal(workspace.Name, "t")
+	is.Equal(router.Priority(closed, workspace), 0)
+	workspace, ok = r.Workspace(closed, "k3")
 	is.True(ok)
-	is.Equal(router.Priority(closed, tenant), 2)
-	_, ok = r.Tenant(closed, "k")
+	is.Equal(router.Priority(closed, workspace), 2)
+	_, ok = r.Workspace(closed, "k")
 	is.True(!ok)
-	_, ok = r.Tenant(closed, "")
+	_, ok = r.Workspace(closed, "")
 	is.True(!ok)
-	_, ok = r.Tenant(open, "")
+	_, ok = r.Workspace(open, "")
 	is.True(ok)
 }
 
@@ -69,13 +69,13 @@
 	is.Equal(router.Service(route, "x"), router.Service(route, "x"))
 }
 
-func TestRanksGoByTenantThenRoute(t *testing.T) {
+func TestRanksGoByWorkspaceThenRoute(t *testing.T) {
 	is := is.New(t)
 	one, nine := 1, 9
 	urgent, usual := &server.Route{Priority: 0}, &server.Route{Priority: 2}
-	tenant, last := &server.Tenant{Priority: &one}, &server.Tenant{Priority: &nine}
-	is.True(router.Rank(urgent, nil) < router.Rank(urgent, tenant))
-	is.True(router.Rank(urgent, tenant) < router.Rank(usual, tenant)) // of one tenant, the urgent route
-	is.True(router.Rank(usual, tenant) < router.Rank(urgent, last))
+	workspace, last := &server.Workspace{Priority: &one}, &server.Workspace{Priority: &nine}
+	is.True(router.Rank(urgent, nil) < router.Rank(urgent, workspace))
+	is.True(router.Rank(urgent, workspace) < router.Rank(usual, workspace)) // of one workspace, the urgent route
+	is.True(router.Rank(usual, workspace) < router.Rank(urgent, last))
 	is.True(router.Rank(usual, last) < router.Ranks)
 }
