--- a/internal/server/batcher/handover.go
+++ b/internal/server/batcher/handover.go
@@ -12,7 +12,7 @@
 const unknownFor = 5 * time.Second
 
 // holding returns what one replica does and which results it is said to keep.
-func (b *bench) holding(results map[string]result, now time.Time) *encoder.ReplicaHolding {
+func (b *worker) holding(results map[string]result, now time.Time) *encoder.ReplicaHolding {
 	held := &encoder.ReplicaHolding{Replica: b.ID}
 	if b.calls > 0 {
 		held.BusyMs = uint32(max(b.free.Sub(now), 0).Milliseconds())
@@ -26,10 +26,10 @@
 }
 
 // handOver tells the next owner what a service's replicas hold and do; mu is held.
-func (o *Owner) handOver(s *shop) {
+func (o *Owner) handOver(s *pool) {
 	now := o.timer.Now()
 	holdings := &encoder.Holdings{Service: s.name}
-	for _, b := range s.queue.benches {
+	for _, b := range s.queue.workers {
 		b.expire(now)
 		if b.calls > 0 || len(b.results) > 0 {
 			holdings.Replicas = append(holdings.Replicas, b.holding(b.results, now))
@@ -41,24 +41,24 @@
 
 // handLate tells the next owner of results that were made after the hand-over;
 // mu is held.
-func (o *Owner) handLate(s *shop, c *call, made []server.Made, now time.Time) {
+func (o *Owner) handLate(s *pool, c *call, made []server.Made, now time.Time) {
 	late := make(map[string]result)
 	for _, m := range made {
-		if r, ok := c.bench.results[m.Handle]; ok {
+		if r, ok := c.worker.results[m.Handle]; ok {
 			late[m.Handle] = r
 		}
 	}
-	go o.next(&encoder.Holdings{Service: s.name, Replicas: []*encoder.ReplicaHolding{c.bench.holding(late, now)}})
+	go o.next(&encoder.Holdings{Service: s.name, Replicas: []*encoder.ReplicaHolding{c.worker.holding(late, now)}})
 }
 
 // TakeOver notes what the owner before knew of a service's replicas.
 func (o *Owner) TakeOver(holdings *encoder.Holdings) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.shop(holdings.GetService())
+	s := o.pool(holdings.GetService())
 	now := o.timer.Now()
 	for _, held := range holdings.GetReplicas() {
-		b := s.queue.benches[held.GetReplica()]
+		b := s.queue.workers[held.GetReplica()]
 		if b == nil {
 			continue
 		}
@@ -78,7 +78,7 @@
 }
 
 // wasFreed reports whether a result was freed before the owner heard of it.
-func (s *shop) wasFreed(handle string, now time.Time) bool {
+func (s *pool) wasFreed(handle string, now time.Time) bool {
 	for freed, at := range s.unknown {
 		if now.Sub(at) > unknownFor {
 			delete(s.unknown, freed)
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -45,20 +44,14 @@
 	Keeper(handle string) string
 }
 
-// Budget bounds repeats.
-type Budget interface {
-	Requested(service string, n int)
-	Spend(service string, n int) bool
-}
-
 // Owner keeps the queues of the services that this instance owns.
 type Owner struct {
 	log    logr.Logger
 	timer  server.Timer
 	caller Caller
-	budget Budget
+	budget server.Budget
 	mu     sync.Mutex
-	shops  map[string]*shop
+	pools  map[string]*pool
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -74,8 +67,8 @@
 	Calls, Pieces, Full, Room, Failed, Late, Repeated uint64
 }
 
-// shop is one service at its owner; the owner's mu guards it.
-type shop struct {
+// pool is one service at its owner; the owner's mu guards it.
+type pool struct {
 	name  string
 	queue *queue
 	// tasks are those that have not ended, by request.
@@ -88,9 +81,9 @@
 }
 
 // NewOwner returns an Owner of nothing.
-func NewOwner(log logr.Logger, timer server.Timer, caller Caller, budget Budget) *Owner {
+func NewOwner(log logr.Logger, timer server.Timer, caller Caller, budget server.Budget) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Owner{log: log, timer: timer, caller: caller, budget: budget, shops: make(map[string]*shop), ctx: ctx, cancel: cancel, next: func(*encoder.Holdings) {}}
+	return &Owner{log: log, timer: timer, caller: caller, budget: budget, pools: make(map[string]*pool), ctx: ctx, cancel: cancel, next: func(*encoder.Holdings) {}}
 }
 
 // Stop ends all calls.
@@ -110,11 +103,11 @@
 func (o *Owner) Idle() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, s := range o.shops {
+	for _, s := range o.pools {
 		if len(s.queue.items) > 0 {
 			return false
 		}
-		for _, b := range s.queue.benches {
+		for _, b := range s.queue.workers {
 			if b.calls > 0 {
 				return false
 			}
@@ -132,35 +125,35 @@
 		if backend.Batch == nil {
 			continue
 		}
-		s := o.shop(name)
+		s := o.pool(name)
 		s.queue.batch = *backend.Batch
 		o.follow(s, replicas(name))
 		o.dispatch(s)
 	}
 }
 
-func (o *Owner) shop(name string) *shop {
-	s := o.shops[name]
+func (o *Owner) pool(name string) *pool {
+	s := o.pools[name]
 	if s == nil {
-		s = &shop{name: name, queue: newQueue(), tasks: make(map[string][]*task), unknown: make(map[string]time.Time), frees: make(map[string][]string)}
-		o.shops[name] = s
+		s = &pool{name: name, queue: newQueue(), tasks: make(map[string][]*task), unknown: make(map[string]time.Time), frees: make(map[string][]string)}
+		o.pools[name] = s
 	}
 	return s
 }
 
-func (o *Owner) follow(s *shop, replicas []server.Replica) {
+func (o *Owner) follow(s *pool, replicas []server.Replica) {
 	listed := make(map[string]bool, len(replicas))
 	for _, replica := range replicas {
 		listed[replica.ID] = true
-		known := s.queue.benches[replica.ID]
+		known := s.queue.workers[replica.ID]
 		if known == nil || known.Born != replica.Born || known.Address != replica.Address {
-			s.queue.benches[replica.ID] = newBench(replica)
+			s.queue.workers[replica.ID] = newWorker(replica)
 		}
 	}
-	for id, b := range s.queue.benches {
+	for id, b := range s.queue.workers {
 		b.gone = !listed[id]
 		if b.gone && b.calls == 0 && len(b.results) == 0 {
-			delete(s.queue.benches, id)
+			delete(s.queue.workers, id)
 		}
 	}
 }
@@ -169,7 +162,7 @@
 func (o *Owner) Submit(job *Job, done func(Result)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.shop(job.Service)
+	s := o.pool(job.Service)
 	o.budget.Requested(job.Service, len(job.Pieces))
 	if o.retired {
 		done(Result{Failing: FailingMoved})
@@ -187,7 +180,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.retired = true
-	for _, s := range o.shops {
+	for _, s := range o.pools {
 		waiting := make(map[*task]int)
 		for _, i := range s.queue.items {
 			waiting[i.task]++
@@ -202,7 +195,7 @@
 }
 
 // end tells a task's result and frees what nobody wants; mu is held.
-func (o *Owner) end(s *shop, t *task, failing server.Failing) {
+func (o *Owner) end(s *pool, t *task, failing server.Failing) {
 	if t.ended {
 		return
 	}
@@ -218,7 +211,7 @@
 func (o *Owner) Withdraw(service, request string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.shops[service]
+	s := o.pools[service]
 	if s == nil {
 		return
 	}
@@ -237,7 +230,7 @@
 func (o *Owner) Expect(service, request string, stage, count, rank int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.shop(service).queue.expect(stageKey{request, stage}, count, rank, o.timer.Now())
+	o.pool(service).queue.expect(stageKey{request, stage}, count, rank, o.timer.Now())
 }
 
 // Until returns the expected times until a new piece is made, by rank, and the
@@ -245,83 +238,14 @@
 func (o *Owner) Until(service string, ranks int) (until []time.Duration, usual time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if s := o.shops[service]; s != nil {
+	if s := o.pools[service]; s != nil {
 		return s.queue.until(ranks, o.timer.Now()), s.queue.typical()
 	}
 	return nil, 0
 }
 
-// Release frees results.
-func (o *Owner) Release(service string, handles []string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	s := o.shop(service)
-	o.free(s, handles)
-}
-
-// free gathers results for a call that frees them; mu is held.
-func (o *Owner) free(s *shop, handles []string) {
-	for _, handle := range handles {
-		address := o.caller.Keeper(handle)
-		known := false
-		for _, b := range s.queue.benches {
-			_, held := b.results[handle]
-			known = known || held
-		}
-		if !known && len(s.unknown) < maxUnknown {
-			s.unknown[handle] = o.timer.Now()
-		}
-		s.frees[address] = append(s.frees[address], handle)
-	}
-	if len(s.frees) > 0 && !s.armed {
-		s.armed = true
-		o.timer.After(freeWait, func(time.Time) { o.work.Go(func() { o.flush(s) }) })
-	}
-}
-
-// flush sends what was gathered.
-func (o *Owner) flush(s *shop) {
-	o.mu.Lock()
-	frees := s.frees
-	s.frees, s.armed = make(map[string][]string), false
-	keepers := make(map[string]*server.Replica, len(frees))
-	for _, b := range s.queue.benches {
-		if frees[b.Address] != nil {
-			replica := b.Replica
-			keepers[b.Address] = &replica
-		}
-	}
-	o.mu.Unlock()
-	ctx, cancel := context.WithTimeout(o.ctx, freeTimeout)
-	defer cancel()
-	var calls sync.WaitGroup
-	for address, handles := range frees {
-		// A replica that is gone has kept nothing.
-		if keeper := keepers[address]; keeper != nil {
-			calls.Go(func() { o.freed(s, keeper, handles, o.caller.Free(ctx, keeper, handles)) })
-		}
-	}
-	calls.Wait()
-}
-
-// freed gives the room of results back, once their replica has freed them.
-func (o *Owner) freed(s *shop, keeper *server.Replica, handles []string, err error) {
-	if err != nil {
-		o.log.Info("results not freed; they expire", "service", s.name, "replica", keeper.ID, "results", len(handles), "cause", err.Error())
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if b := s.queue.benches[keeper.ID]; b != nil {
-		for _, handle := range handles {
-			b.release(handle)
-		}
-	}
-	o.dispatch(s)
-}
-
 // dispatch starts every call that can be made; mu is held.
-func (o *Owner) dispatch(s *shop) {
+func (o *Owner) dispatch(s *pool) {
 	now := o.timer.Now()
 	for {
 		c, hopeless := s.queue.next(now)
@@ -342,7 +266,7 @@
 }
 
 // arm looks at the queue again when patience or a block ends.
-func (o *Owner) arm(s *shop, now time.Time) {
+func (o *Owner) arm(s *pool, now time.Time) {
 	if s.wake != nil {
 		s.wake()
 		s.wake = nil
@@ -356,7 +280,7 @@
 			at = until
 		}
 	}
-	for _, b := range s.queue.benches {
+	for _, b := range s.queue.workers {
 		if b.blocked.After(now) && b.blocked.Before(at) {
 			at = b.blocked
 		}
@@ -369,126 +293,3 @@
 		})
 	})
 }
-
-// run makes one call.
-func (o *Owner) run(s *shop, c *call, began time.Time) {
-	pieces := make([]server.Piece, len(c.items))
-	for n, i := range c.items {
-		t := i.task
-		pieces[n] = server.Piece{
-			Request: t.Request, Stage: t.Stage, Piece: t.Pieces[i.index], Left: t.Last.Sub(began), Key: t.Key, Inputs: t.Inputs,
-		}
-	}
-	ctx, cancel := context.WithCancel(o.ctx)
-	stop := o.timer.After(overdueFactor*c.span+overdueExtra, func(time.Time) { cancel() })
-	made, err := o.caller.Make(ctx, &c.bench.Replica, pieces)
-	stop()
-	overdue := ctx.Err() != nil
-	cancel()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	now := o.timer.Now()
-	s.queue.finish(c)
-	o.log.Info("stage call", "service", s.name, "replica", c.bench.ID, "datacentre", c.bench.Datacentre, "pieces", len(c.items),
-		"first_request", c.items[0].task.Request, "oldest_ms", began.Sub(c.oldest()).Milliseconds(), "took_ms", now.Sub(began).Milliseconds(),
-		"span_ms", c.span.Milliseconds(), "waiting", len(s.queue.items), "used", c.bench.used, "room", s.queue.batch.Room, "ok", err == nil)
-	if err != nil {
-		o.failed(s, c, err, overdue, now)
-	} else {
-		c.bench.failures = 0
-		c.bench.timed(now.Sub(began), s.queue.batch.Span(len(c.items)))
-		s.queue.took(now.Sub(began))
-		o.made(s, c, made, now)
-		if o.retired {
-			o.handLate(s, c, made, now)
-		}
-	}
-	o.dispatch(s)
-}
-
-// made hands out the results of a call; mu is held.
-func (o *Owner) made(s *shop, c *call, made []server.Made, now time.Time) {
-	var again, noRoom []*item
-	for n, i := range c.items {
-		t := i.task
-		switch {
-		case made[n].Handle != "":
-			o.keep(s, c.bench, i, made[n].Handle, now)
-		case made[n].Failing == server.FailingRoom:
-			o.counts.Room++
-			noRoom = append(noRoom, i)
-		case made[n].Failing == server.FailingError:
-			o.counts.Failed++
-			again = append(again, i)
-		default:
-			o.log.Info("piece not made", "request", t.Request, "stage", t.Stage, "piece", t.Pieces[i.index], "service", s.name,
-				"replica", c.bench.ID, "reason", string(made[n].Failing))
-			o.end(s, t, made[n].Failing)
-		}
-	}
-	if len(noRoom) == len(c.items) {
-		// Results that nobody here knows fill the replica until they expire.
-		c.bench.blocked = now.Add(roomWait)
-	}
-	if len(noRoom) > 0 {
-		c.bench.full(int64(len(noRoom))*noRoom[0].task.Bytes, now)
-		o.log.Info("replica had no room", "service", s.name, "replica", c.bench.ID, "pieces", len(noRoom), "used", c.bench.used, "room", s.queue.batch.Room)
-	}
-	for _, i := range noRoom {
-		i.tries-- // it was not tried
-	}
-	o.again(s, append(again, noRoom...), "not made")
-}
-
-// keep notes a result and ends its task when it was the last.
-func (o *Owner) keep(s *shop, b *bench, i *item, handle string, now time.Time) {
-	t := i.task
-	b.results[handle] = result{bytes: t.Bytes, expires: now.Add(s.queue.batch.Keep)}
-	b.used += t.Bytes
-	if t.ended {
-		o.free(s, []string{handle})
-		return
-	}
-	t.handles[i.index] = handle
-	if t.left--; t.left == 0 {
-		o.end(s, t, "")
-	}
-}
-
-// again queues pieces once more, within their tries and the budget.
-func (o *Owner) again(s *shop, items []*item, why string) {
-	items = slices.DeleteFunc(items, func(i *item) bool { return i.task.ended })
-	if len(items) == 0 {
-		return
-	}
-	granted := o.budget.Spend(s.name, len(items))
-	o.log.Info("pieces again", "service", s.name, "pieces", len(items), "granted", granted, "cause", why)
-	for _, i := range items {
-		if i.tries++; !granted || i.tries >= maxTries {
-			o.end(s, i.task, server.FailingError)
-			continue
-		}
-		o.counts.Repeated++
-		s.queue.items = append(s.queue.items, i)
-	}
-}
-
-// failed handles a call without results; mu is held.
-func (o *Owner) failed(s *shop, c *call, err error, overdue bool, now time.Time) {
-	b := c.bench
-	if errors.Is(err, server.ErrOverload) {
-		o.counts.Full++
-		b.blocked = now.Add(fullWait)
-	} else {
-		o.counts.Failed++
-		block := min(firstBlock<<min(b.failures, 6), lastBlock)
-		b.failures++
-		b.blocked = now.Add(block)
-		if overdue {
-			b.timed(maxPace*c.span, c.span)
-		}
-		o.log.Info("stage call failed", "service", s.name, "replica", b.ID, "pieces", len(c.items), "overdue", overdue,
-			"block_ms", block.Milliseconds(), "cause", err.Error())
-	}
-	o.again(s, c.items, err.Error())
-}
--- a/internal/server/batcher/owner_test.go
+++ b/internal/server/batcher/owner_test.go
@@ -237,8 +237,8 @@
 		synctest.Wait()
 		is.Equal(r.calls, 1) // the second call was not made
 		is.Equal(len(r.live), 0)
-		is.Equal(len(o.shops["s"].tasks), 0)
-		is.Equal(o.shops["s"].queue.benches["i-0"].used, int64(0))
+		is.Equal(len(o.pools["s"].tasks), 0)
+		is.Equal(o.pools["s"].queue.workers["i-0"].used, int64(0))
 	})
 }
 
@@ -280,7 +280,7 @@
 		used := func() (bytes int64) {
 			next.mu.Lock()
 			defer next.mu.Unlock()
-			for _, b := range next.shops["s"].queue.benches {
+			for _, b := range next.pools["s"].queue.workers {
 				bytes += b.used
 			}
 			return bytes
--- a/internal/server/batcher/queue_test.go
+++ b/internal/server/batcher/queue_test.go
@@ -18,7 +18,7 @@
 	q.batch = server.Batch{Slots: 1, Queue: 2, Size: 14, Call: 150 * time.Millisecond, Item: 9 * time.Millisecond, Room: 81e6, Keep: 4 * time.Second}
 	for i := range n {
 		id := fmt.Sprintf("i-%d", i)
-		q.benches[id] = newBench(server.Replica{ID: id, Datacentre: []string{"east", "west"}[i%2]})
+		q.workers[id] = newWorker(server.Replica{ID: id, Datacentre: []string{"east", "west"}[i%2]})
 	}
 	return q
 }
@@ -85,7 +85,7 @@
 	q.add(task)
 	c, _ := q.next(start)
 	is.Equal(len(c.items), 4) // of 81 MB
-	b := c.bench
+	b := c.worker
 	q.finish(c)
 	is.Equal(b.used, int64(0))
 	b.results["h"] = result{bytes: 70e6, expires: start.Add(time.Second)}
@@ -99,8 +99,8 @@
 func TestALatePieceDoesNotWaitForLong(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue(1)
-	q.benches["i-0"].calls = 1
-	q.benches["i-0"].free = start.Add(time.Second)
+	q.workers["i-0"].calls = 1
+	q.workers["i-0"].free = start.Add(time.Second)
 	q.add(testTask("a", 1, 1, time.Second, 8*time.Second))
 	_, hopeless := q.next(start.Add(time.Second))
 	is.Equal(len(hopeless), 0)
@@ -111,7 +111,7 @@
 func TestRoomThatOthersTakeComesBack(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue(1)
-	b := q.benches["i-0"]
+	b := q.workers["i-0"]
 	b.full(q.batch.Room/2, start) // results of an owner before this one
 	b.full(q.batch.Room/2, start)
 	is.Equal(b.room(q.batch.Room, start), int64(0))
@@ -139,28 +139,28 @@
 func TestPiecesWaitForTheirDataCentreForAWhile(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue(2)
-	q.benches["i-0"].calls = 1 // east is busy
-	q.benches["i-0"].free = start.Add(50 * time.Millisecond)
+	q.workers["i-0"].calls = 1 // east is busy
+	q.workers["i-0"].free = start.Add(50 * time.Millisecond)
 	task := testTask("a", 1, 1, time.Second, 8*time.Second)
 	task.Datacentre = "east"
 	q.add(task)
 	c, _ := q.next(start)
 	is.True(c == nil)
 	c, _ = q.next(start.Add(patience))
-	is.Equal(c.bench.ID, "i-1")
+	is.Equal(c.worker.ID, "i-1")
 }
 
 func TestAQueueThatIsTooLongForItsDataCentreGoesElsewhere(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue(2)
-	q.benches["i-0"].calls = 1 // east is busy
+	q.workers["i-0"].calls = 1 // east is busy
 	for i := range 3 {
 		task := testTask(string(rune('a'+i)), 14, 1, time.Second, 8*time.Second)
 		task.Datacentre = "east"
 		q.add(task)
 	}
 	c, _ := q.next(start)
-	is.Equal(c.bench.ID, "i-1")
+	is.Equal(c.worker.ID, "i-1")
 	is.Equal(requests(c), "bbbbbbbbbbbbbb") // the first call's worth waits for east
 }
 
@@ -171,7 +171,7 @@
 	q.add(testTask("a", 6, 1, time.Second, 8*time.Second))
 	c, _ := q.next(start)
 	is.Equal(len(c.items), 4)
-	is.Equal(q.items[0].task.Datacentre, c.bench.Datacentre)
+	is.Equal(q.items[0].task.Datacentre, c.worker.Datacentre)
 	other, _ := q.next(start)
 	is.True(other == nil) // the other data centre is idle, but the first four are not there
 }
@@ -179,21 +179,21 @@
 func TestASlowReplicaIsUsedOnlyWhenThatIsSooner(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue(2)
-	q.benches["i-0"].pace = 5
-	q.benches["i-1"].calls = 1
-	q.benches["i-1"].free = start.Add(100 * time.Millisecond)
+	q.workers["i-0"].pace = 5
+	q.workers["i-1"].calls = 1
+	q.workers["i-1"].free = start.Add(100 * time.Millisecond)
 	q.add(testTask("a", 1, 1, time.Second, 8*time.Second))
 	c, _ := q.next(start)
 	is.True(c == nil) // the fast one is sooner, though busy
-	q.benches["i-1"].free = start.Add(3 * time.Second)
+	q.workers["i-1"].free = start.Add(3 * time.Second)
 	c, _ = q.next(start)
-	is.Equal(c.bench.ID, "i-0")
+	is.Equal(c.worker.ID, "i-0")
 }
 
 func TestAReplicaThatLeavesGetsNoCall(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue(1)
-	q.benches["i-0"].gone = true
+	q.workers["i-0"].gone = true
 	q.add(testTask("a", 1, 1, time.Second, 8*time.Second))
 	c, _ := q.next(start)
 	is.True(c == nil)
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -48,7 +48,6 @@
 	departing map[string]departure
 	instances map[string]server.Instance
 	failed    time.Time
-	stops     []func()
 }
 
 // Option sets a property of a Registrar.
@@ -216,7 +215,7 @@
 	at := r.failed.Add(returnGrace)
 	r.departing[id] = departure{replica: replica, at: at}
 	r.log.Info("registration missing while the store is disturbed", "replica", id, "service", replica.Service, "wait_ms", at.Sub(now).Milliseconds())
-	r.stops = append(r.stops, r.timer.After(max(at.Sub(now), time.Millisecond), func(now time.Time) { go r.sweep(now) }))
+	r.timer.After(max(at.Sub(now), time.Millisecond), func(now time.Time) { go r.sweep(now) })
 }
 
 // sweep removes the replicas whose rows did not come back.
@@ -224,7 +223,7 @@
 	r.mu.Lock()
 	for id, d := range r.departing {
 		if now.Before(d.at) {
-			r.stops = append(r.stops, r.timer.After(d.at.Sub(now), func(now time.Time) { go r.sweep(now) }))
+			r.timer.After(d.at.Sub(now), func(now time.Time) { go r.sweep(now) })
 			continue
 		}
 		delete(r.departing, id)
@@ -277,9 +276,4 @@
 		following.Go(func() { newFollower(r, feed, name).run(ctx) })
 	}
 	following.Wait()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, stop := range r.stops {
-		stop()
-	}
 }
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -247,6 +247,14 @@
 	Owner(handle string) string
 }
 
+// Budget bounds what is sent more than once, over all instances.
+type Budget interface {
+	// Requested counts n requests, or pieces, for a service.
+	Requested(service string, n int)
+	// Spend takes n repeats, or none and returns false.
+	Spend(service string, n int) bool
+}
+
 // StoredRow is one row of a table of the platform's store.
 type StoredRow struct {
 	Name  string
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -16,12 +16,6 @@
 	"oriolemill.example/oriolemill/internal/server/stager"
 )
 
-// Budget bounds repeats.
-type Budget interface {
-	Requested(service string, n int)
-	Spend(service string, n int) bool
-}
-
 // Estimates tell how long stage services take now.
 type Estimates interface {
 	// Until returns the expected time until a new piece is made, the part of it
@@ -48,7 +42,7 @@
 	Chooser   *chooser.Chooser
 	Exchanger *exchanger.Exchanger
 	Stager    *stager.Stager
-	Budget    Budget
+	Budget    server.Budget
 	Estimates Estimates
 	Meter     Meter
 }
