Pass news of data centres on in time, and ask credits for all that wait

A member then held news up to 6 s old; when its relay died, the next relay told what it had, heard fresher news in the same instant and kept it for 2.5 s more, while the old news passed its 8 s: all of a far data centre was taken as dead for a second. At 390 instances news crossed the 8 s by itself, which is a change, and changes are told at once to all links. Now news goes on with the digest after the one beside which it came.

Ruled out: the dials' jitter (all links stood at 2.75 s in the failed runs), the choice of the next relay (the same on all), a check of the test in the instant of the deadline (the state held for a second).

An ask now counts all that wait. TestManyAtOnceGetTheirCredits failed before (limit reached with 40 of 40 slots free) and passes.

--- a/internal/server/limiter/account.go
+++ b/internal/server/limiter/account.go
@@ -19,6 +19,8 @@
 	slotsUntil time.Time
 	inUse      int
 	wanted     int
+	// waiting is the number of requests that wait for the owner's answer.
+	waiting int
 	// quiet says that the owner was told of everything and nothing came since.
 	quiet      bool
 	told       bool
@@ -225,8 +227,9 @@
 		ahead = 0
 	}
 	if more {
-		ahead = max(1, ahead)
-		w.slots = max(w.slots, a.inUse+1)
+		waiting := max(1, a.waiting)
+		ahead = max(float64(waiting), ahead)
+		w.slots = max(w.slots, a.inUse+waiting)
 	}
 	if a.terms.rate > 0 {
 		w.tokens = max(0, ahead-a.tokens)
--- a/internal/server/limiter/limiter.go
+++ b/internal/server/limiter/limiter.go
@@ -143,22 +143,28 @@
 // answer when there is no credit. The limits that come after it are asked for
 // in the same frame.
 func (l *Limiter) draw(a *account, t terms, later []claim) (time.Duration, bool) {
-	reached := true
+	reached, waiting := true, 0
 	for try := range takeTries {
 		a.mu.Lock()
 		now := l.timer.Now()
 		if try == 0 {
 			a.arrive(now)
 		}
+		a.waiting -= waiting
 		outcome, after := a.take(now, t, l.part(), reached)
 		if outcome != asks {
 			a.mu.Unlock()
 			return after, outcome == taken
 		}
+		waiting = 1
+		a.waiting += waiting
 		answered, sent := l.request(a, now, later)
 		a.mu.Unlock()
 		reached = sent && l.await(a, answered)
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting -= waiting
 	return aheadTime, false
 }
 
--- a/internal/server/limiter/limiter_test.go
+++ b/internal/server/limiter/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -112,6 +113,10 @@
 	is := is.New(t)
 	contract, err := parser.ParseContract("habari.yaml", []byte(terms))
 	is.NoErr(err)
+	return newFleetOf(count, contract)
+}
+
+func newFleetOf(count int, contract *parser.Contract) *fleet {
 	f := &fleet{
 		links: &links{members: make(map[string]*limiter.Limiter), granted: make(map[string]uint32), unused: make(map[string]uint32)}, timer: ticker.New(), table: standin.NewTable(0, 0, nil), contract: contract,
 	}
@@ -212,6 +217,34 @@
 	})
 }
 
+// TestManyAtOnceGetTheirCredits has as many requests arrive in one instant as
+// the limit holds. None is refused while the limit is not reached.
+func TestManyAtOnceGetTheirCredits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const atOnce = 40
+		wide := strings.NewReplacer("rate: 4", "rate: 1000", "concurrency: 10", "concurrency: 40").Replace(terms)
+		contract, err := parser.ParseContract("habari.yaml", []byte(wide))
+		is.NoErr(err)
+		f := newFleetOf(3, contract)
+		defer f.stop()
+		for i := range 3 {
+			var wait sync.WaitGroup
+			releases := make([]func(map[string]server.Cost), atOnce)
+			refusals := make([]error, atOnce)
+			for n := range atOnce {
+				wait.Go(func() { releases[n], refusals[n] = f.take(i) })
+			}
+			wait.Wait()
+			for n := range atOnce {
+				is.NoErr(refusals[n])
+				releases[n](nil)
+			}
+			time.Sleep(4 * time.Second) // the slots come back
+		}
+	})
+}
+
 // reserved returns the row of today's budget.
 func (f *fleet) reserved(t *testing.T) string {
 	row, ok := f.table.Row(server.Key{Table: "budgets", Row: time.Now().UTC().Format("2006-01-02") + "/habari/draft"})
--- a/internal/server/peerer/digest.go
+++ b/internal/server/peerer/digest.go
@@ -36,18 +36,18 @@
 	uses    []Use
 }
 
-// summary is what is known of a data centre.
+// summary is what is known of a data centre: as of at, heard here at heard.
 type summary struct {
 	at     time.Time
+	heard  time.Time
 	via    string
 	stale  bool
 	silent map[uint32]bool
 }
 
-// told is when a link was told of a data centre, and of what time.
+// told is of what time the news was that a link was told of a data centre.
 type told struct {
-	at   time.Time
-	sent time.Time
+	at time.Time
 	// changes is the number of changes known when it was told; two in one
 	// instant must not pass for one.
 	changes uint64
@@ -170,11 +170,11 @@
 		places.Names = append(places.Names, hash(place))
 		places.AgeCs = append(places.AgeCs, ages(age))
 	}
-	if l.datacentre != p.self.Datacentre && p.due(l, p.self.Datacentre, now, now) {
+	if l.datacentre != p.self.Datacentre && p.due(l, p.self.Datacentre, now, time.Time{}, now) {
 		add(p.self.Datacentre, 0, own)
 	}
 	for place, s := range p.summaries {
-		if place == l.datacentre || s.via == l.id || s.stale || !p.due(l, place, s.at, now) {
+		if place == l.datacentre || s.via == l.id || s.stale || !p.due(l, place, s.at, s.heard, now) {
 			continue
 		}
 		add(place, now.Sub(s.at), slices.Collect(maps.Keys(s.silent)))
@@ -186,13 +186,16 @@
 }
 
 // due reports whether a link is to be told of a data centre again: after a
-// change, at intervals, and when much newer is known than what it was told.
-func (p *Peerer) due(l *link, place string, at, now time.Time) bool {
+// change, and when news is known that is about a period younger than what it was
+// told. News goes on with the digest after the one beside which it came, so that
+// its age grows by a digest's period at each hop and not by its own.
+func (p *Peerer) due(l *link, place string, at, heard, now time.Time) bool {
 	last, ok := l.summarised[place]
-	if ok && now.Sub(last.sent) < summaryPeriod-digestPeriod/2 && p.changes == last.changes && at.Sub(last.at) < 2*summaryPeriod {
+	changed := !ok || p.changes != last.changes
+	if !changed && (at.Sub(last.at) < summaryPeriod-digestPeriod/2 || now.Sub(heard) < digestPeriod/4) {
 		return false
 	}
-	l.summarised[place] = told{at: at, sent: now, changes: p.changes}
+	l.summarised[place] = told{at: at, changes: p.changes}
 	return true
 }
 
@@ -225,7 +228,7 @@
 		// A place that the list does not show yet is told again.
 		if place := p.places[name]; place != "" {
 			age := time.Duration(at(places.GetAgeCs(), i)) * ageUnit
-			changed = p.takeSummary(l, place, now.Add(-age), absent[i]) || changed
+			changed = p.takeSummary(l, place, now.Add(-age), now, absent[i]) || changed
 		}
 	}
 	if changed {
@@ -248,7 +251,7 @@
 }
 
 // takeSummary reports whether it changed what is known of a data centre.
-func (p *Peerer) takeSummary(l *link, place string, at time.Time, absent []uint32) bool {
+func (p *Peerer) takeSummary(l *link, place string, at, now time.Time, absent []uint32) bool {
 	old := p.summaries[place]
 	if place == p.self.Datacentre || (old != nil && old.outdates(l, at)) {
 		return false
@@ -257,6 +260,6 @@
 	for _, h := range absent {
 		silent[h] = true
 	}
-	p.summaries[place] = &summary{at: at, via: l.id, silent: silent}
+	p.summaries[place] = &summary{at: at, heard: now, via: l.id, silent: silent}
 	return old == nil || old.stale || !maps.Equal(old.silent, silent)
 }
--- a/internal/server/peerer/peerer_test.go
+++ b/internal/server/peerer/peerer_test.go
@@ -113,6 +113,33 @@
 	})
 }
 
+// TestFarMembersAnswerWhileARelayIsReplaced loses the relay of a data centre at
+// several moments between what it tells. Its members keep taking those elsewhere
+// for alive: nothing happened to them, and the next relay has news in time.
+func TestFarMembersAnswerWhileARelayIsReplaced(t *testing.T) {
+	for moment := range 6 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 60, 20)
+			defer f.stop()
+			time.Sleep(settle + time.Duration(moment)*500*time.Millisecond)
+			relay := 20
+			for gauge(t, f.peers[relay], "oriolemill_peer_links") <= 19 {
+				relay++
+			}
+			f.isolate(relay, true)
+			time.Sleep(noticed)
+			for range 40 { // 10 s, longer than any news of the first relay is believed
+				time.Sleep(250 * time.Millisecond)
+				synctest.Wait()
+				for i := 20; i < 40; i++ {
+					is.True(i == relay || f.answering(i) == 58)
+				}
+			}
+		})
+	}
+}
+
 // TestPartsGoOnWhenCut cuts one data centre off from the two others.
 func TestPartsGoOnWhenCut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
