Ask one instance at a time for a table, and tell small changes whole

The links stood still, also for the store's own answers; edge-umea-c-19 had plan 14 at 30.67 s, 3.3 s after it was acknowledged.

Now the changes themselves go with the word where they are under 8 kB; what is missing is asked for once, of one of those who told, another if that fails; who has heard of a version from three others does not tell it again. The part has its own package, gossiper.

Ruled out: the store's answer (others of the data centre had the plan within 0.7 s), the pause after news (0.8 s; the own watch was in progress).

--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -24,6 +24,7 @@
 	"oriolemill.example/oriolemill/internal/server/dialer"
 	"oriolemill.example/oriolemill/internal/server/exchanger"
 	"oriolemill.example/oriolemill/internal/server/fronter"
+	"oriolemill.example/oriolemill/internal/server/gossiper"
 	"oriolemill.example/oriolemill/internal/server/linker"
 	"oriolemill.example/oriolemill/internal/server/meter"
 	"oriolemill.example/oriolemill/internal/server/recorder"
@@ -52,6 +53,7 @@
 	feed      server.Feed
 	registrar *registrar.Registrar
 	linker    *linker.Linker
+	gossiper  *gossiper.Gossiper
 	owner     *batcher.Owner
 	sharer    *batcher.Sharer
 	chooser   *chooser.Chooser
@@ -66,12 +68,11 @@
 	stopping  atomic.Bool
 	ready     atomic.Bool
 	// following guards the parts that follow views against views out of order.
-	following  sync.Mutex
-	announcing atomic.Bool
-	putting    atomic.Bool
-	ctx        context.Context
-	cancel     context.CancelFunc
-	work       sync.WaitGroup
+	following sync.Mutex
+	putting   atomic.Bool
+	ctx       context.Context
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
 }
 
 // New puts an instance together and opens its sockets; Start begins to serve.
@@ -92,6 +93,7 @@
 	}
 	i.registrar = registrar.New(log, timer, adapter.Decoder, settings.Tables, registrar.WithChanged(i.changed))
 	i.linker = linker.New(log, timer, i.self, sockets.peers, linker.WithLost(i.prune))
+	i.gossiper = gossiper.New(log, timer, i.registrar, i.linker)
 	budget := budgeter.New(timer, settings.Bounds.Ratio, settings.Bounds.Slack, settings.Bounds.Window, i.linker.Count)
 	i.dialer = dialer.New(timer)
 	exchanges := exchanger.New(i.dialer, adapter.Wire)
--- a/internal/server/composer/stop.go
+++ b/internal/server/composer/stop.go
@@ -83,6 +83,7 @@
 		all = append(all, s.Close())
 	}
 	i.owner.Stop()
+	i.gossiper.Stop()
 	i.linker.Stop()
 	i.dialer.Close()
 	i.work.Wait()
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -100,6 +100,26 @@
 	r.take(name, func(t *table) []string { return t.replace(rows, version) })
 }
 
+// Version returns the version that a table is known up to; zero before it was read.
+func (r *Registrar) Version(name string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.tables[name]; t != nil && t.read {
+		return t.version
+	}
+	return 0
+}
+
+// Since returns the changes of a table after a version, for other instances.
+func (r *Registrar) Since(name string, after uint64) []server.StoredRow {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.tables[name]; t != nil {
+		return t.since(after)
+	}
+	return nil
+}
+
 // Rows returns a table for other instances; ok is false until it was read.
 func (r *Registrar) Rows(name string) (rows []server.StoredRow, version uint64, ok bool) {
 	r.mu.Lock()
--- a/internal/server/registrar/table.go
+++ b/internal/server/registrar/table.go
@@ -76,6 +76,22 @@
 	return rows
 }
 
+// since returns the rows that were written or removed after a version.
+func (t *table) since(after uint64) []server.StoredRow {
+	var rows []server.StoredRow
+	for _, row := range t.rows {
+		if row.Version > after {
+			rows = append(rows, row)
+		}
+	}
+	for name, version := range t.dropped {
+		if version > after {
+			rows = append(rows, server.StoredRow{Name: name, Version: version, Removed: true})
+		}
+	}
+	return rows
+}
+
 // departure is a replica whose row was removed.
 type departure struct {
 	replica server.Replica
