Try replicas again that were slow, and share what one priority gets

Now slowness is forgotten by half each second without a call, and the first call is a small one of what is least urgent.

--- a/internal/server/batcher/calls.go
+++ b/internal/server/batcher/calls.go
@@ -30,12 +30,12 @@
 	s.queue.finish(c)
 	o.log.Info("stage call", "service", s.name, "replica", c.worker.ID, "datacentre", c.worker.Datacentre, "pieces", len(c.items),
 		"first_request", c.items[0].task.Request, "oldest_ms", began.Sub(c.oldest()).Milliseconds(), "took_ms", now.Sub(began).Milliseconds(),
-		"span_ms", c.span.Milliseconds(), "waiting", len(s.queue.items), "used", c.worker.used, "room", s.queue.batch.Room, "ok", err == nil)
+		"span_ms", c.span.Milliseconds(), "waiting", s.queue.waiting, "used", c.worker.used, "room", s.queue.batch.Room, "ok", err == nil)
 	if err != nil {
 		o.failed(s, c, err, overdue, now)
 	} else {
 		c.worker.failures = 0
-		c.worker.timed(now.Sub(began), s.queue.batch.Span(len(c.items)))
+		c.worker.timed(now.Sub(began), s.queue.batch.Span(len(c.items)), now)
 		s.queue.took(now.Sub(began))
 		o.made(s, c, made, now)
 		if o.retired {
@@ -108,7 +108,7 @@
 			continue
 		}
 		o.counts.Repeated++
-		s.queue.items = append(s.queue.items, i)
+		s.queue.put(i)
 	}
 }
 
@@ -124,7 +124,7 @@
 		b.failures++
 		b.blocked = now.Add(block)
 		if overdue {
-			b.timed(maxPace*c.span, c.span)
+			b.timed(maxPace*c.span, c.span, now)
 		}
 		o.log.Info("stage call failed", "service", s.name, "replica", b.ID, "pieces", len(c.items), "overdue", overdue,
 			"block_ms", block.Milliseconds(), "cause", err.Error())
--- a/internal/server/batcher/estimate.go
+++ b/internal/server/batcher/estimate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"oriolemill.example/oriolemill/internal/server/router"
 )
 
 // stageKey names one stage of one request.
@@ -18,24 +20,37 @@
 
 // expect notes pieces that will be asked for.
 func (q *queue) expect(key stageKey, count, rank int, now time.Time) {
+	q.lane(rank).ask(count, now)
 	q.coming[key] = coming{count: count, rank: rank, expires: now.Add(comingFor)}
 }
 
-// expected adds the pieces that will be asked for to counts by rank.
-func (q *queue) expected(counts []int, now time.Time) {
+// decline notes pieces that will not be asked for, since their request was refused.
+func (q *queue) decline(count, rank int, now time.Time) { q.lane(rank).ask(count, now) }
+
+// backlog counts the pieces that are on time, here or coming, by rank, and all.
+func (q *queue) backlog(now time.Time) (onTime [router.Ranks]int, all int) {
 	for key, c := range q.coming {
 		if now.After(c.expires) {
 			delete(q.coming, key)
 			continue
 		}
-		counts[min(c.rank, len(counts)-1)] += c.count
+		onTime[min(max(c.rank, 0), router.Ranks-1)] += c.count
+		all += c.count
+	}
+	soon := now.Add(q.ahead())
+	for _, t := range q.tasks {
+		if !soon.After(t.Goal) {
+			onTime[min(max(t.Rank, 0), router.Ranks-1)] += len(t.waiting)
+		}
+		all += len(t.waiting)
 	}
+	return onTime, all
 }
 
-// until estimates by rank how long it takes until a new piece is made: the
-// pieces that are on time and go before it, here already or coming, and a call.
-func (q *queue) until(ranks int, now time.Time) []time.Duration {
-	times := make([]time.Duration, ranks)
+// until estimates by rank how long it takes until a new piece is made, if it goes
+// with those that are on time; the last is the time if it is late.
+func (q *queue) until(now time.Time) []time.Duration {
+	times := make([]time.Duration, router.Ranks+1)
 	next, perSecond := q.flow(now)
 	if next < 0 {
 		for rank := range times {
@@ -43,19 +58,26 @@
 		}
 		return times
 	}
-	soon := now.Add(q.ahead())
-	counts := make([]int, ranks)
-	q.expected(counts, now)
-	for _, i := range q.items {
-		if !soon.After(i.task.Goal) {
-			counts[min(i.task.Rank, ranks-1)]++
-		}
+	after := func(pieces float64) time.Duration {
+		return next + time.Duration(pieces/perSecond*float64(time.Second)) + q.typical()
 	}
-	ahead := 0
-	for rank := range times {
-		ahead += counts[rank]
-		times[rank] = next + time.Duration(float64(ahead)/perSecond*float64(time.Second)) + q.typical()
+	onTime, all := q.backlog(now)
+	before := 0.0
+	for first := 0; first < router.Ranks; first += router.PerPriority {
+		total, weights := 0.0, 0.0
+		for rank := first; rank < first+router.PerPriority; rank++ {
+			q.lanes[rank].fade(now)
+			total += float64(onTime[rank])
+			weights += q.weight(rank)
+		}
+		for rank := first; rank < first+router.PerPriority; rank++ {
+			// Its own backlog drains with its part of the flow, or faster.
+			own := float64(onTime[rank]) * weights / q.weight(rank)
+			times[rank] = after(before + min(own, total))
+		}
+		before += total
 	}
+	times[router.Ranks] = after(float64(all))
 	return times
 }
 
--- a/internal/server/batcher/job.go
+++ b/internal/server/batcher/job.go
@@ -46,8 +46,13 @@
 	done     func(Result)
 	enqueued time.Time
 	number   uint64
+	// waiting are the pieces that are in no call.
+	waiting []*item
 }
 
+// followsUp reports whether work was done for the request before.
+func (t *task) followsUp() bool { return len(t.Inputs) > 0 }
+
 // item is one piece of a task.
 type item struct {
 	task  *task
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -104,7 +104,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, s := range o.pools {
-		if len(s.queue.items) > 0 {
+		if s.queue.waiting > 0 {
 			return false
 		}
 		for _, b := range s.queue.workers {
@@ -181,12 +181,8 @@
 	defer o.mu.Unlock()
 	o.retired = true
 	for _, s := range o.pools {
-		waiting := make(map[*task]int)
-		for _, i := range s.queue.items {
-			waiting[i.task]++
-		}
-		for t, n := range waiting {
-			if n == len(t.Pieces) {
+		for _, t := range s.queue.tasks {
+			if len(t.waiting) == len(t.Pieces) {
 				o.end(s, t, FailingMoved)
 			}
 		}
@@ -233,13 +229,20 @@
 	o.pool(service).queue.expect(stageKey{request, stage}, count, rank, o.timer.Now())
 }
 
-// Until returns the expected times until a new piece is made, by rank, and the
-// part of them that a call takes.
-func (o *Owner) Until(service string, ranks int) (until []time.Duration, usual time.Duration) {
+// Decline notes pieces of a rank that will not be asked for.
+func (o *Owner) Decline(service string, count, rank int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pool(service).queue.decline(count, rank, o.timer.Now())
+}
+
+// Until returns the expected times until a new piece is made, by rank and last
+// until everything is made, and the part of them that a call takes.
+func (o *Owner) Until(service string) (until []time.Duration, usual time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if s := o.pools[service]; s != nil {
-		return s.queue.until(ranks, o.timer.Now()), s.queue.typical()
+		return s.queue.until(o.timer.Now()), s.queue.typical()
 	}
 	return nil, 0
 }
@@ -249,11 +252,9 @@
 	now := o.timer.Now()
 	for {
 		c, hopeless := s.queue.next(now)
-		for _, i := range hopeless {
-			if !i.task.ended {
-				o.counts.Late++
-			}
-			o.end(s, i.task, server.FailingLate)
+		for _, t := range hopeless {
+			o.counts.Late++
+			o.end(s, t, server.FailingLate)
 		}
 		if c == nil {
 			break
@@ -271,12 +272,12 @@
 		s.wake()
 		s.wake = nil
 	}
-	if len(s.queue.items) == 0 {
+	if s.queue.waiting == 0 {
 		return
 	}
 	at := now.Add(patience)
-	for _, i := range s.queue.items {
-		if until := i.task.enqueued.Add(patience); until.After(now) && until.Before(at) {
+	for _, t := range s.queue.tasks {
+		if until := t.enqueued.Add(patience); until.After(now) && until.Before(at) {
 			at = until
 		}
 	}
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/router"
 )
 
 const (
@@ -25,6 +26,9 @@
 	// replica that nothing on time needs, about a call and a half. After that the
 	// service is saturated.
 	lateWait = 400 * time.Millisecond
+	// paceHalf is the time without a call in which half of a replica's slowness is
+	// forgotten; replicas were seen to be slow for 5 s, and a trial costs one call.
+	paceHalf = time.Second
 	// spanGain is the weight of the newest call in a service's usual time.
 	spanGain = 0.15
 	// foreignHalf is the time in which room that others are believed to take halves.
@@ -40,14 +44,17 @@
 // queue holds the pieces of one service. It decides without clock, network or
 // goroutine.
 type queue struct {
-	batch   server.Batch
-	items   []*item
+	batch server.Batch
+	// tasks are those with pieces that wait, waiting is the number of pieces.
+	tasks   []*task
+	waiting int
 	workers map[string]*worker
 	numbers uint64
 	// usual is the time that calls usually take; zero before the first.
 	usual time.Duration
 	// coming are the pieces that will be asked for.
 	coming map[stageKey]coming
+	lanes  [router.Ranks]lane
 }
 
 func newQueue() *queue {
@@ -58,10 +65,23 @@
 func (q *queue) add(t *task) {
 	q.numbers++
 	t.number = q.numbers
-	delete(q.coming, stageKey{t.Request, t.Stage})
+	key := stageKey{t.Request, t.Stage}
+	if _, told := q.coming[key]; !told {
+		q.lane(t.Rank).ask(len(t.Pieces), t.enqueued)
+	}
+	delete(q.coming, key)
 	for i := range t.Pieces {
-		q.items = append(q.items, &item{task: t, index: i})
+		q.put(&item{task: t, index: i})
+	}
+}
+
+// put queues one piece.
+func (q *queue) put(i *item) {
+	if len(i.task.waiting) == 0 {
+		q.tasks = append(q.tasks, i.task)
 	}
+	i.task.waiting = append(i.task.waiting, i)
+	q.waiting++
 }
 
 // call is a call that shall be made.
@@ -82,24 +102,24 @@
 	return oldest
 }
 
-// next returns the next call to make now, or nil. Pieces that cannot be made in
-// time any more are returned as hopeless and leave the queue.
-func (q *queue) next(now time.Time) (*call, []*item) {
+// next returns the next call to make now, or nil. Tasks that cannot be made in
+// time to be of use leave the queue and are returned as hopeless.
+func (q *queue) next(now time.Time) (*call, []*task) {
 	hopeless := q.prune(now)
-	if len(q.items) == 0 {
+	if q.waiting == 0 {
 		return nil, hopeless
 	}
 	idle := q.idle(now)
 	if len(idle) == 0 {
 		return nil, hopeless
 	}
-	q.sort(now)
+	ordered := q.order(now)
 	places := q.places(now)
 	for _, b := range idle {
 		if q.better(b, now) {
 			continue
 		}
-		if items := q.fill(b, places, now); len(items) > 0 {
+		if items := q.fill(b, ordered, places, now); len(items) > 0 {
 			return q.start(b, items, now), hopeless
 		}
 	}
@@ -107,29 +127,29 @@
 }
 
 // prune takes out what has ended and what is hopeless.
-func (q *queue) prune(now time.Time) []*item {
-	var hopeless []*item
-	shortest, ahead := q.shortest(), q.ahead()
-	kept := q.items[:0]
-	for _, i := range q.items {
-		switch {
-		case i.task.ended:
-		case now.Add(shortest).After(i.task.Last), i.waitedLate(now, ahead):
-			hopeless = append(hopeless, i)
-		default:
-			kept = append(kept, i)
+func (q *queue) prune(now time.Time) []*task {
+	var hopeless []*task
+	soonest, ahead := now.Add(q.shortest()), q.ahead()
+	q.tasks = slices.DeleteFunc(q.tasks, func(t *task) bool {
+		useless := soonest.After(t.Last) || t.waitedLate(now, ahead)
+		if !t.ended && !useless {
+			return false
 		}
-	}
-	clear(q.items[len(kept):])
-	q.items = kept
+		if !t.ended {
+			hopeless = append(hopeless, t)
+		}
+		q.waiting -= len(t.waiting)
+		t.waiting = nil
+		return true
+	})
 	return hopeless
 }
 
-// waitedLate reports whether a piece that is late anyway has waited for long.
-func (i *item) waitedLate(now time.Time, ahead time.Duration) bool {
-	since := i.task.Goal.Add(-ahead)
-	if since.Before(i.task.enqueued) {
-		since = i.task.enqueued
+// waitedLate reports whether a task that is late anyway has waited for long.
+func (t *task) waitedLate(now time.Time, ahead time.Duration) bool {
+	since := t.Goal.Add(-ahead)
+	if since.Before(t.enqueued) {
+		since = t.enqueued
 	}
 	return now.Sub(since) > lateWait
 }
@@ -148,7 +168,7 @@
 // ahead is the time of the next call at the best replica, as full as the queue
 // makes it: what is due sooner cannot be on time any more.
 func (q *queue) ahead() time.Duration {
-	return time.Duration(q.best() * float64(q.batch.Span(min(max(len(q.items), 1), q.batch.Size))))
+	return time.Duration(q.best() * float64(q.batch.Span(min(max(q.waiting, 1), q.batch.Size))))
 }
 
 // idle returns the replicas that can take a call, the fastest first.
@@ -157,6 +177,7 @@
 	for _, b := range q.workers {
 		if !b.gone && b.calls < q.batch.Slots && !now.Before(b.blocked) {
 			b.expire(now)
+			b.recover(now)
 			idle = append(idle, b)
 		}
 	}
@@ -166,29 +187,6 @@
 	return idle
 }
 
-// sort orders pieces: those that can be on time before those that are late
-// anyway, then by rank, then by what is due first.
-func (q *queue) sort(now time.Time) {
-	soon := now.Add(q.ahead())
-	late := func(i *item) int {
-		if soon.After(i.task.Goal) {
-			return 1
-		}
-		return 0
-	}
-	slices.SortStableFunc(q.items, func(a, b *item) int {
-		if a.task == b.task {
-			return cmp.Compare(a.index, b.index)
-		}
-		return cmp.Or(
-			cmp.Compare(late(a), late(b)),
-			cmp.Compare(a.task.Rank, b.task.Rank),
-			a.task.Goal.Compare(b.task.Goal),
-			cmp.Compare(a.task.number, b.task.number),
-		)
-	})
-}
-
 // places returns by data centre when its replicas can take their next calls.
 func (q *queue) places(now time.Time) map[string][]time.Time {
 	places := make(map[string][]time.Time)
@@ -226,14 +224,14 @@
 	if !q.slow(slow) {
 		return false
 	}
-	end := now.Add(slow.span(&q.batch, min(len(q.items), q.batch.Size)))
+	end := now.Add(slow.span(&q.batch, min(q.waiting, q.batch.Size)))
 	for _, b := range q.workers {
 		if b.gone || b == slow || q.slow(b) || now.Before(b.blocked) {
 			continue
 		}
 		// A busy replica takes what waits before, so this call is the next but
 		// one where the queue is longer than a call.
-		calls := 1 + len(q.items)/max(q.batch.Size*len(q.workers), 1)
+		calls := 1 + q.waiting/max(q.batch.Size*len(q.workers), 1)
 		free := b.free
 		if free.Before(now) {
 			free = now
@@ -247,30 +245,84 @@
 
 // fill chooses pieces for a replica, within the size of a call and its room. A
 // piece that is wanted elsewhere is left for there if a replica there can take it
-// within patience.
-func (q *queue) fill(b *worker, places map[string][]time.Time, now time.Time) []*item {
-	var items []*item
-	room := b.room(q.batch.Room, now)
-	homes := make(map[string]int, len(places))
-	for _, i := range q.items {
-		if len(items) == q.batch.Size {
-			break
-		}
-		t := i.task
-		if home := t.Datacentre; home != "" && home != b.Datacentre && len(places[home]) > 0 {
-			call := homes[home] / q.batch.Size
-			homes[home]++
-			if call < len(places[home]) && q.waits(t, places[home][call]) {
+// within patience. While more waits than one call of each replica holds, places
+// that are left over go to those too. A replica that was slow gets a small call
+// of what is least urgent, to see whether it still is.
+func (q *queue) fill(b *worker, ordered []*task, places map[string][]time.Time, now time.Time) []*item {
+	if b.suspect {
+		return q.trial(b, ordered, now)
+	}
+	f := filling{queue: q, worker: b, room: b.room(q.batch.Room, now), homes: make(map[string]int, len(places))}
+	for _, t := range ordered {
+		for _, i := range t.waiting {
+			if len(f.items) == q.batch.Size {
+				return f.items
+			}
+			if f.leave(t, places) {
+				f.left = append(f.left, i)
 				continue
 			}
+			f.take(i)
 		}
-		if q.batch.Room > 0 && t.Bytes > room {
-			continue
+	}
+	if q.pressed() {
+		for _, i := range f.left {
+			f.take(i)
 		}
-		room -= t.Bytes
-		items = append(items, i)
 	}
-	return items
+	return f.items
+}
+
+// trial chooses the least urgent task's pieces for a replica.
+func (q *queue) trial(b *worker, ordered []*task, now time.Time) []*item {
+	f := filling{queue: q, worker: b, room: b.room(q.batch.Room, now)}
+	for _, i := range ordered[len(ordered)-1].waiting {
+		f.take(i)
+	}
+	return f.items
+}
+
+// filling is a call that pieces are chosen for.
+type filling struct {
+	queue  *queue
+	worker *worker
+	items  []*item
+	// left are the pieces that are left for other replicas.
+	left []*item
+	room int64
+	// homes counts the pieces that are wanted in each data centre.
+	homes map[string]int
+}
+
+// leave reports whether a piece is left for the data centre where it is wanted.
+func (f *filling) leave(t *task, places map[string][]time.Time) bool {
+	home := t.Datacentre
+	if home == "" || home == f.worker.Datacentre || len(places[home]) == 0 {
+		return false
+	}
+	call := f.homes[home] / f.queue.batch.Size
+	f.homes[home]++
+	return call < len(places[home]) && f.queue.waits(t, places[home][call])
+}
+
+func (f *filling) take(i *item) {
+	limited := f.queue.batch.Room > 0
+	if len(f.items) == f.queue.batch.Size || limited && i.task.Bytes > f.room {
+		return
+	}
+	f.room -= i.task.Bytes
+	f.items = append(f.items, i)
+}
+
+// pressed reports whether more waits than one call of each replica holds.
+func (q *queue) pressed() bool {
+	replicas := 0
+	for _, b := range q.workers {
+		if !b.gone {
+			replicas++
+		}
+	}
+	return q.waiting > replicas*q.batch.Size
 }
 
 // waits reports whether a task should wait for a replica where its pieces are
@@ -285,6 +337,7 @@
 
 // start takes pieces out of the queue for a call.
 func (q *queue) start(b *worker, items []*item, now time.Time) *call {
+	soon := now.Add(q.ahead())
 	taken := make(map[*item]bool, len(items))
 	for _, i := range items {
 		taken[i] = true
@@ -293,11 +346,19 @@
 			// The stage that follows fetches all of a request's results together.
 			i.task.Datacentre = b.Datacentre
 		}
+		if !soon.After(i.task.Goal) {
+			q.lane(i.task.Rank).make(now)
+		}
 	}
-	q.items = slices.DeleteFunc(q.items, func(i *item) bool { return taken[i] })
+	q.tasks = slices.DeleteFunc(q.tasks, func(t *task) bool {
+		t.waiting = slices.DeleteFunc(t.waiting, func(i *item) bool { return taken[i] })
+		return len(t.waiting) == 0
+	})
+	q.waiting -= len(items)
 	span := b.span(&q.batch, len(items))
 	b.calls++
 	b.free = now.Add(span)
+	b.suspect = false
 	return &call{worker: b, items: items, span: span}
 }
 
--- a/internal/server/batcher/sharer.go
+++ b/internal/server/batcher/sharer.go
@@ -49,10 +49,10 @@
 	telling  bool
 }
 
-// told are the expected times until a piece is made, by rank, as the service's
-// owner told.
+// told are the expected times until a piece is made, by rank and last until all
+// is made, as the service's owner told.
 type told struct {
-	ranks []time.Duration
+	times []time.Duration
 	usual time.Duration
 	at    time.Time
 }
@@ -184,7 +184,7 @@
 	case <-ctx.Done():
 		answer.Failing = string(server.FailingError)
 	}
-	times, usual := s.owner.Until(job.Service, router.Ranks)
+	times, usual := s.owner.Until(job.Service)
 	answer.UsualMs = uint32(usual.Milliseconds())
 	for _, until := range times {
 		answer.UntilMs = append(answer.UntilMs, uint32(until.Milliseconds()))
@@ -228,11 +228,20 @@
 
 // Expect tells the owner of a stage service what it will be asked for.
 func (s *Sharer) Expect(service, request string, stage, count, rank int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.coming = append(s.coming, &encoder.ComingPieces{
+	s.announce(&encoder.ComingPieces{
 		Service: service, Request: request, Stage: uint32(stage), Count: uint32(count), Rank: uint32(rank),
 	})
+}
+
+// Decline tells the owner of a stage service what it would have been asked for.
+func (s *Sharer) Decline(service string, count, rank int) {
+	s.announce(&encoder.ComingPieces{Service: service, Count: uint32(count), Rank: uint32(rank), Declined: true})
+}
+
+func (s *Sharer) announce(pieces *encoder.ComingPieces) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coming = append(s.coming, pieces)
 	if !s.telling {
 		s.telling = true
 		s.timer.After(comingWait, func(time.Time) { go s.tell() })
@@ -269,6 +278,10 @@
 // Hear takes an instance's word of pieces that it will ask for.
 func (s *Sharer) Hear(coming *encoder.Coming) {
 	for _, pieces := range coming.GetPieces() {
+		if pieces.GetDeclined() {
+			s.owner.Decline(pieces.GetService(), int(pieces.GetCount()), int(pieces.GetRank()))
+			continue
+		}
 		s.owner.Expect(pieces.GetService(), pieces.GetRequest(), int(pieces.GetStage()), int(pieces.GetCount()), int(pieces.GetRank()))
 	}
 }
@@ -279,28 +292,36 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told[service] = told{ranks: times, usual: usual, at: s.timer.Now()}
+	s.told[service] = told{times: times, usual: usual, at: s.timer.Now()}
 }
 
 // noteOwn notes the estimate of a service that this instance owns.
 func (s *Sharer) noteOwn(service string) {
-	times, usual := s.owner.Until(service, router.Ranks)
+	times, usual := s.owner.Until(service)
 	s.note(service, times, usual)
 }
 
-// Until returns the expected time until a piece of a rank is made at a service,
-// as last told, the part of it that a call takes, and its age; ok is false when it
-// is not known.
-func (s *Sharer) Until(service string, rank int) (until, usual, age time.Duration, ok bool) {
+// Outlook is what a new piece can expect of a service.
+type Outlook struct {
+	// Until is the time until it is made if it is on time, Backlog the time if
+	// everything that waits goes before it; Call is the part of both that a call takes.
+	Until, Backlog, Call time.Duration
+	// Age is how old the estimate is.
+	Age time.Duration
+}
+
+// Outlook returns the estimate of a service's owner as last told; ok is false when
+// none is known that is fresh.
+func (s *Sharer) Outlook(service string, rank int) (outlook Outlook, ok bool) {
 	if s.links.Owner(service) == s.links.Self().ID {
 		s.noteOwn(service)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.told[service]
-	age = s.timer.Now().Sub(t.at)
-	if !ok || age > untilFresh {
-		return 0, 0, age, false
+	age := s.timer.Now().Sub(t.at)
+	if !ok || age > untilFresh || len(t.times) <= router.Ranks {
+		return Outlook{Age: age}, false
 	}
-	return t.ranks[min(rank, len(t.ranks)-1)], t.usual, age, true
+	return Outlook{Until: t.times[min(max(rank, 0), router.Ranks-1)], Backlog: t.times[router.Ranks], Call: t.usual, Age: age}, true
 }
--- a/internal/server/batcher/worker.go
+++ b/internal/server/batcher/worker.go
@@ -1,6 +1,7 @@
 package batcher
 
 import (
+	"math"
 	"time"
 
 	"oriolemill.example/oriolemill/internal/server"
@@ -11,8 +12,11 @@
 	server.Replica
 	// calls is the number of calls in progress.
 	calls int
-	// pace is the time of calls over the time that the plan states.
-	pace float64
+	// pace is the time of calls over the time that the plan states, as of timedAt.
+	pace    float64
+	timedAt time.Time
+	// suspect is set when the replica was slow and may not be any more.
+	suspect bool
 	// free is when the call in progress is expected to end.
 	free time.Time
 	// used is the room that results take, by handle with their sizes.
@@ -38,8 +42,21 @@
 	return &worker{Replica: replica, pace: 1, results: make(map[string]result)}
 }
 
+// recover forgets, bit by bit, that an idle replica was slow: nobody asks a slow
+// one, so nothing else would tell that it is no longer.
+func (b *worker) recover(now time.Time) {
+	idle := now.Sub(b.timedAt)
+	if b.pace <= 1 || b.calls > 0 || idle <= 0 || b.timedAt.IsZero() {
+		return
+	}
+	b.suspect = b.suspect || b.pace > slowFactor
+	b.pace = 1 + (b.pace-1)*math.Exp2(-float64(idle)/float64(paceHalf))
+	b.timedAt = now
+}
+
 // timed learns from a call that took a time where span was stated.
-func (b *worker) timed(took, span time.Duration) {
+func (b *worker) timed(took, span time.Duration, now time.Time) {
+	b.timedAt = now
 	pace := min(max(float64(took)/float64(max(span, time.Millisecond)), minPace), maxPace)
 	b.pace += paceGain * (pace - b.pace)
 }
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/batcher"
 	"oriolemill.example/oriolemill/internal/server/chooser"
 	"oriolemill.example/oriolemill/internal/server/stager"
 )
@@ -50,18 +51,23 @@
 	if len(f.view.Replicas(f.service)) == 0 {
 		return f.refuse("no replica of the service is registered", refusedWait)
 	}
-	expected, queued, age := f.expected()
-	now := f.Timer.Now()
-	late := now.Add(expected).Sub(f.goal)
-	useless := now.Add(expected).After(f.last())
-	if !useless && (late <= 0 || queued < queuedLeast) {
+	expected, queued, age := f.expected(onTime)
+	late, left := f.late(expected), f.last().Sub(f.Timer.Now())
+	if expected <= left && (late <= 0 || queued < queuedLeast) {
 		return true
 	}
+	f.Stager.Decline(f.route.Stages, f.traits.Pieces, f.rank)
 	f.Log.Info("refused on arrival", "request", f.traits.ID, "route", f.route.Name, "rank", f.rank, "expected_ms", expected.Milliseconds(),
-		"queued_ms", queued.Milliseconds(), "estimate_age_ms", age.Milliseconds(), "late_ms", late.Milliseconds(), "left_ms", f.left().Milliseconds())
+		"queued_ms", queued.Milliseconds(), "estimate_age_ms", age.Milliseconds(), "late_ms", late.Milliseconds(),
+		"left_ms", f.left().Milliseconds())
 	return f.refuse("it cannot be answered in time now", max(queued, minBack))
 }
 
+// late is by how much an answer's beginning misses the goal if it takes a time.
+func (f *flow) late(expected time.Duration) time.Duration {
+	return f.Timer.Now().Add(expected).Sub(f.goal)
+}
+
 // last is when the first byte of the answer must be there to be of use.
 func (f *flow) last() time.Time {
 	if f.route.Kind != server.KindStream {
@@ -78,11 +84,16 @@
 	return last
 }
 
+// onTime and afterAll say which part of a service's outlook counts: what a piece
+// waits for that is on time, or for everything that waits now.
+func onTime(o *batcher.Outlook) time.Duration   { return max(o.Until-o.Call, 0) }
+func afterAll(o *batcher.Outlook) time.Duration { return max(o.Backlog-o.Call, 0) }
+
 // expected estimates the time to the first byte of the answer along the
 // request's critical path, the part of it that is queueing, and the age of the
 // oldest estimate in it. The queue of a later stage drains while the stages before
 // are made.
-func (f *flow) expected() (total, queued, age time.Duration) {
+func (f *flow) expected(wait func(*batcher.Outlook) time.Duration) (total, queued, age time.Duration) {
 	stages := f.route.Stages
 	ends, waits := make([]time.Duration, len(stages)), make([]time.Duration, len(stages))
 	for i, stage := range stages {
@@ -92,10 +103,11 @@
 			}
 		}
 		if i < len(f.traits.Pieces) && f.traits.Pieces[i] > 0 {
-			wait, usual, old := f.until(stage.Service)
-			waits[i] += max(wait-ends[i], 0)
-			ends[i] = max(ends[i], wait) + usual
-			age = max(age, old)
+			outlook := f.outlook(stage.Service)
+			queue := wait(&outlook)
+			waits[i] += max(queue-ends[i], 0)
+			ends[i] = max(ends[i], queue) + outlook.Call
+			age = max(age, outlook.Age)
 		}
 		if ends[i] > total {
 			total, queued = ends[i], waits[i]
@@ -104,13 +116,14 @@
 	return total + f.engine(), queued, age
 }
 
-// until is the expected wait for a call of a service, and the call's time.
-func (f *flow) until(service string) (wait, usual, age time.Duration) {
-	until, usual, age, ok := f.Estimates.Until(service, f.rank)
-	if !ok {
-		return 0, f.call(service), 0
+// outlook is what a piece can expect of a service; without a fresh word of its owner
+// it is a usual call.
+func (f *flow) outlook(service string) batcher.Outlook {
+	if outlook, ok := f.Estimates.Outlook(service, f.rank); ok {
+		return outlook
 	}
-	return max(until-usual, 0), usual, age
+	usual := f.call(service)
+	return batcher.Outlook{Until: usual, Backlog: usual, Call: usual}
 }
 
 // call is the time of a call of a stage service as the plan states it, with the
@@ -208,8 +221,8 @@
 	wait := refusedWait
 	for i, stage := range f.route.Stages {
 		if i < len(f.traits.Pieces) && f.traits.Pieces[i] > 0 {
-			queue, _, _ := f.until(stage.Service)
-			wait = max(wait, queue)
+			outlook := f.outlook(stage.Service)
+			wait = max(wait, afterAll(&outlook))
 		}
 	}
 	return wait
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/batcher"
 	"oriolemill.example/oriolemill/internal/server/chooser"
 	"oriolemill.example/oriolemill/internal/server/exchanger"
 	"oriolemill.example/oriolemill/internal/server/registrar"
@@ -18,9 +19,9 @@
 
 // Estimates tell how long stage services take now.
 type Estimates interface {
-	// Until returns the expected time until a new piece is made, the part of it
-	// that a call takes, and the estimate's age.
-	Until(service string, rank int) (until, usual, age time.Duration, ok bool)
+	// Outlook returns what a new piece of a rank can expect; ok is false when
+	// nothing fresh is known.
+	Outlook(service string, rank int) (outlook batcher.Outlook, ok bool)
 }
 
 // Meter counts requests.
--- a/internal/server/stager/stager.go
+++ b/internal/server/stager/stager.go
@@ -33,6 +33,8 @@
 	Release(service string, handles []string)
 	// Expect tells of pieces that will be asked for.
 	Expect(service, request string, stage, count, rank int)
+	// Decline tells of pieces that will not be asked for.
+	Decline(service string, count, rank int)
 }
 
 // Stager runs the stages of requests.
@@ -103,6 +105,15 @@
 	}
 }
 
+// Decline tells the services of stages of a request that was refused on arrival.
+func (s *Stager) Decline(stages []server.StageSpec, pieces []int, rank int) {
+	for i, stage := range stages {
+		if i < len(pieces) && pieces[i] > 0 {
+			s.maker.Decline(stage.Service, pieces[i], rank)
+		}
+	}
+}
+
 // check refuses stages that need ones which do not exist or are not before them.
 func check(request *Request) error {
 	for i, stage := range request.Stages {
--- a/internal/server/stager/stager_test.go
+++ b/internal/server/stager/stager_test.go
@@ -63,6 +63,8 @@
 
 func (m *maker) Expect(string, string, int, int, int) {}
 
+func (m *maker) Decline(string, int, int) {}
+
 // chain is one stage by itself, and three behind one another.
 var chain = []server.StageSpec{{Service: "a"}, {Service: "a"}, {Service: "b", After: []int{1}}, {Service: "c", After: []int{2}}}
 
