Let a few instances follow the store for all in large deployments, and send refused clients back later

Above 16 instances five strong ones follow the store with watches of 2 s and say so each 0.4 s; the others take changes from them, and ask the store themselves once fewer than two leaders were heard for 1.2 s. A leader that the store does not answer stops saying so after 2.5 s. News carries when the store last failed its teller, so that rows that lapsed meanwhile are not believed gone.

Refused clients are told 4 s at least (was 1.5 s): they have one retry, come back after a third of their time at most, and bursts of 5 s met them again.

Ruled out: fewer leaders (one alone is lost with its link), pushing whole plans (a link of 10 Mbit/s takes 0.3 s for each).

Tests: TestLeadersFollowTheStoreForAll (fails without leaders), TestInstancesFollowAgainWhenLeadersFall, TestTroubleOfTheStoreIsToldWithItsNews.

--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -91,7 +91,8 @@
 		ID: settings.ID, Address: settings.Peers.String(), Datacentre: settings.Datacentre, Born: timer.Now().UnixMilli(),
 		Strength: settings.Strength(),
 	}
-	i.registrar = registrar.New(log, timer, adapter.Decoder, settings.Tables, registrar.WithChanged(i.changed))
+	i.registrar = registrar.New(log, timer, adapter.Decoder, settings.Tables, registrar.WithChanged(i.changed),
+		registrar.WithLeaders(func(table string) bool { return i.gossiper.Led(table) }, func() bool { return i.gossiper.Leading() }, gossiper.LeadWait))
 	i.linker = linker.New(log, timer, i.self, sockets.peers, linker.WithLost(i.prune))
 	i.gossiper = gossiper.New(log, timer, i.registrar, i.linker)
 	budget := budgeter.New(timer, settings.Bounds.Ratio, settings.Bounds.Slack, settings.Bounds.Window, i.linker.Count)
--- a/internal/server/gossiper/gossiper.go
+++ b/internal/server/gossiper/gossiper.go
@@ -27,6 +27,10 @@
 	// maxChanges bounds the rows in bytes that are told with a change; larger ones
 	// are asked for, so that a link carries them once.
 	maxChanges = 8 << 10
+	// spreadWait spreads the questions of all instances after one word.
+	spreadWait = 100 * time.Millisecond
+	// failureFresh is how long a failed call to the store is told of.
+	failureFresh = 3 * time.Second
 	// enoughTellers is the number of instances that have told of a version from
 	// which one more says nothing new.
 	enoughTellers = 3
@@ -45,10 +49,19 @@
 	Follow(table string, rows []server.StoredRow, version uint64)
 	// Replace takes a whole table as of version.
 	Replace(table string, rows []server.StoredRow, version uint64)
+	// Answered returns when the store last answered a call for a table.
+	Answered(table string) time.Time
+	// LastFailure returns when a call to the store last failed, and Failed notes one.
+	LastFailure() time.Time
+	Failed(at time.Time)
 }
 
 // Links reach the other instances.
 type Links interface {
+	Self() server.Instance
+	// Leaders returns the instances that follow the store for all; none where
+	// everyone does.
+	Leaders() []string
 	Broadcast(frame *encoder.Frame)
 	Call(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error)
 }
@@ -65,6 +78,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
+	stop   func()
 }
 
 // topic is what was told and heard of one table.
@@ -74,6 +88,8 @@
 	// heard is the newest version that others told, tellers are those who did.
 	heard   uint64
 	tellers []string
+	// led is when each leader last said that it follows the table.
+	led map[string]time.Time
 	// asking is set while a table is waited for or fetched.
 	asking bool
 }
@@ -82,14 +98,16 @@
 func New(log logr.Logger, timer server.Timer, tables Tables, links Links) *Gossiper {
 	g := &Gossiper{log: log, timer: timer, tables: tables, links: links, topics: make(map[string]*topic)}
 	for _, name := range tables.Names() {
-		g.topics[name] = &topic{}
+		g.topics[name] = &topic{led: make(map[string]time.Time)}
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.stop = timer.Every(leadPeriod, func(now time.Time) { g.lead(now) })
 	return g
 }
 
 // Stop ends all questions.
 func (g *Gossiper) Stop() {
+	g.stop()
 	g.cancel()
 	g.work.Wait()
 }
@@ -115,9 +133,18 @@
 		}
 	}
 	g.mu.Unlock()
-	if len(news.GetTables()) > 0 {
-		g.links.Broadcast(&encoder.Frame{Body: &encoder.Frame_News{News: news}})
+	g.tell(news)
+}
+
+// tell sends news with what the store's troubles are, if there is any.
+func (g *Gossiper) tell(news *encoder.News) {
+	if len(news.GetTables()) == 0 {
+		return
+	}
+	if age := g.timer.Now().Sub(g.tables.LastFailure()); age < failureFresh {
+		news.FailedMs = uint32(age.Milliseconds()) + 1
 	}
+	g.links.Broadcast(&encoder.Frame{Body: &encoder.Frame_News{News: news}})
 }
 
 // change returns what is told of a table, or nil; mu is held.
@@ -145,7 +172,13 @@
 
 // Hear takes another instance's word of changes.
 func (g *Gossiper) Hear(from string, news *encoder.News) {
+	if ago := news.GetFailedMs(); ago > 0 {
+		g.tables.Failed(g.timer.Now().Add(-time.Duration(ago-1) * time.Millisecond))
+	}
 	for _, change := range news.GetTables() {
+		if news.GetLeading() {
+			g.heardLeader(from, change.GetTable())
+		}
 		g.hear(from, change)
 	}
 }
@@ -169,7 +202,12 @@
 	defer g.mu.Unlock()
 	if !t.asking && g.tables.Version(name) < t.heard {
 		t.asking = true
-		g.timer.After(newsWait, func(time.Time) { g.work.Go(func() { g.catchUp(name, t) }) })
+		wait := newsWait
+		if g.led(t) {
+			// The store is not asked here, and will not tell.
+			wait = rand.N(spreadWait)
+		}
+		g.timer.After(wait, func(time.Time) { g.work.Go(func() { g.catchUp(name, t) }) })
 	}
 }
 
--- a/internal/server/gossiper/gossiper_test.go
+++ b/internal/server/gossiper/gossiper_test.go
@@ -52,14 +52,17 @@
 type fleet struct {
 	timer   *ticker.Ticker
 	members []*member
+	leaders []string
+	stops   []func()
 }
 
-func newFleet(count int) *fleet {
-	f := &fleet{timer: ticker.New()}
+func newFleet(count int, leaders ...string) *fleet {
+	f := &fleet{timer: ticker.New(), leaders: leaders}
 	for i := range count {
 		m := &member{id: fmt.Sprintf("i-%d", i), fleet: f}
 		m.Registrar = registrar.New(logr.Discard(), f.timer, decoder{}, registrar.Tables{Plan: plans, PlanRow: "newest", Replicas: "replicas"},
-			registrar.WithChanged(func(*registrar.View) { m.gossiper.Changed() }))
+			registrar.WithChanged(func(*registrar.View) { m.gossiper.Changed() }),
+			registrar.WithLeaders(func(table string) bool { return m.gossiper.Led(table) }, func() bool { return m.gossiper.Leading() }, gossiper.LeadWait))
 		m.gossiper = gossiper.New(logr.Discard(), f.timer, m, m)
 		f.members = append(f.members, m)
 	}
@@ -71,6 +74,9 @@
 }
 
 func (f *fleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
 	for _, m := range f.members {
 		m.gossiper.Stop()
 	}
@@ -90,6 +96,10 @@
 	return m.busy.Sub(now)
 }
 
+func (m *member) Self() server.Instance { return server.Instance{ID: m.id} }
+
+func (m *member) Leaders() []string { return m.fleet.leaders }
+
 func (m *member) isCut() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -186,23 +186,48 @@
 
 // Owner returns the instance that answers for a name: the same on every
 // instance that sees the same members. Weak ones own nothing.
-func (l *Linker) Owner(name string) string {
+func (l *Linker) Owner(name string) string { return choose(name, l.strong(l.Up()), 1)[0] }
+
+const (
+	// leaderCount is the number of instances that follow the store for all.
+	leaderCount = 5
+	// leaderFrom is the number of instances above which not all follow the store.
+	leaderFrom = 16
+)
+
+// Leaders returns the instances that follow the store for all, or none where
+// everyone does.
+func (l *Linker) Leaders() []string {
 	up := l.Up()
+	if len(up) <= leaderFrom {
+		return nil
+	}
+	return choose("leaders", l.strong(up), leaderCount)
+}
+
+// strong returns the IDs of the instances that are strong enough to own.
+func (l *Linker) strong(up []server.Instance) []string {
 	strongest := 0.0
 	for _, instance := range up {
 		strongest = max(strongest, instance.Strength)
 	}
-	var best string
-	var most uint64
+	var ids []string
 	for _, instance := range up {
-		if instance.Strength < strongShare*strongest {
-			continue
-		}
-		if weight := xxhash.Sum64String(name + "\x00" + instance.ID); best == "" || weight > most {
-			best, most = instance.ID, weight
+		if instance.Strength >= strongShare*strongest {
+			ids = append(ids, instance.ID)
 		}
 	}
-	return best
+	return ids
+}
+
+// choose returns the IDs with the highest rendezvous hashes for a name.
+func choose(name string, ids []string, count int) []string {
+	weights := make(map[string]uint64, len(ids))
+	for _, id := range ids {
+		weights[id] = xxhash.Sum64String(name + "\x00" + id)
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b)) })
+	return ids[:min(count, len(ids))]
 }
 
 // Call sends a frame and returns the answer. An error means that the member
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -27,6 +27,8 @@
 	gatherMost = 4
 	// memberGather is the same for the table of instances.
 	memberGather = time.Second
+	// ledWait is how often it is looked whether leaders still follow the store.
+	ledWait = 200 * time.Millisecond
 	// quickAnswers is the number of watches answered in a row without news
 	// after which the follower waits, so that a faulty store is not flooded.
 	quickAnswers = 3
@@ -69,8 +71,13 @@
 	if !f.loaded {
 		return f.load(ctx)
 	}
+	if f.registrar.led(f.table) {
+		return ledWait
+	}
+	// Other instances may have told more than the store did.
+	f.version = max(f.version, f.registrar.Version(f.table))
 	began := f.registrar.timer.Now()
-	rows, version, err := f.feed.Watch(ctx, f.table, f.version, f.wait)
+	rows, version, err := f.feed.Watch(ctx, f.table, f.version, f.hold())
 	if errors.Is(err, server.ErrNotFound) {
 		f.loaded = false
 		f.registrar.log.Info("history of the store is too short, reading the table whole", "table", f.table, "after", f.version)
@@ -100,8 +107,19 @@
 	return 0
 }
 
+// hold is how long the store may hold a watch.
+func (f *follower) hold() time.Duration {
+	if f.registrar.leading() {
+		return f.registrar.leadWait
+	}
+	return f.wait
+}
+
 // pause is the wait after news.
 func (f *follower) pause() time.Duration {
+	if f.registrar.leading() {
+		return gatherWait
+	}
 	times := len(f.registrar.View().Instances()) / gatherEach
 	return f.gather * time.Duration(min(max(times, 1), gatherMost))
 }
@@ -135,6 +153,7 @@
 }
 
 func (f *follower) succeed() {
+	f.registrar.noteAnswer(f.table)
 	if f.failures > 0 {
 		f.registrar.log.Info("store regained", "table", f.table, "away_ms", f.registrar.timer.Now().Sub(f.lost).Milliseconds(), "failures", f.failures)
 	}
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -48,6 +48,10 @@
 	departing map[string]departure
 	instances map[string]server.Instance
 	failed    time.Time
+	answered  map[string]time.Time
+	led       func(table string) bool
+	leading   func() bool
+	leadWait  time.Duration
 }
 
 // Option sets a property of a Registrar.
@@ -56,13 +60,21 @@
 // WithChanged sets what is called after each new view. It must not wait.
 func WithChanged(changed func(*View)) Option { return func(r *Registrar) { r.changed = changed } }
 
+// WithLeaders lets other instances follow the store for this one: led reports
+// whether they follow a table, leading whether this instance follows for them, with
+// watches that the store may hold for wait.
+func WithLeaders(led func(table string) bool, leading func() bool, wait time.Duration) Option {
+	return func(r *Registrar) { r.led, r.leading, r.leadWait = led, leading, wait }
+}
+
 // New returns a Registrar that knows nothing yet.
 func New(log logr.Logger, timer server.Timer, decoder server.Decoder, names Tables, options ...Option) *Registrar {
 	r := &Registrar{
 		log: log, timer: timer, decoder: decoder, names: names, changed: func(*View) {},
 		tables:   map[string]*table{names.Plan: newTable(), names.Replicas: newTable(), TableInstances: newTable()},
 		replicas: make(map[string]server.Replica), departing: make(map[string]departure),
-		instances: make(map[string]server.Instance),
+		instances: make(map[string]server.Instance), answered: make(map[string]time.Time),
+		led: func(string) bool { return false }, leading: func() bool { return false },
 	}
 	for _, option := range options {
 		option(r)
@@ -83,6 +95,9 @@
 func (r *Registrar) Failed(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !now.After(r.failed) {
+		return
+	}
 	r.failed = now
 	for id, d := range r.departing {
 		d.at = now.Add(returnGrace)
@@ -90,6 +105,26 @@
 	}
 }
 
+// LastFailure returns when a call to the store last failed.
+func (r *Registrar) LastFailure() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed
+}
+
+// Answered returns when the store last answered a call for a table.
+func (r *Registrar) Answered(table string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered[table]
+}
+
+func (r *Registrar) noteAnswer(table string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered[table] = r.timer.Now()
+}
+
 // Follow takes changes of a table up to version.
 func (r *Registrar) Follow(name string, rows []server.StoredRow, version uint64) {
 	r.take(name, func(t *table) []string { return t.follow(rows, version) })
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -36,7 +36,7 @@
 	// minBack is the shortest time after which a request that was refused for
 	// want of capacity is told to come back: bursts last seconds, and clients
 	// heed a third of the time that they have left.
-	minBack = 1500 * time.Millisecond
+	minBack = 4 * time.Second
 	// firstMargin is left of a client's patience for the way of the first event.
 	firstMargin = 100 * time.Millisecond
 	// stageFill is the part of a call's size that is usually filled, as seen in
