Tell late pieces at once when the queue is long

Cause: a piece that can't be on time waited 400 ms for a place that nothing on time needs; while more waits than one call of each replica holds there is none, so its client heard 0.4 s later what was known before. Pieces that work was done for may still wait.

Test: TestLatePiecesAreToldAtOnceWhileTheQueueIsLong.

--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -129,9 +129,12 @@
 // prune takes out what has ended and what is hopeless.
 func (q *queue) prune(now time.Time) []*task {
 	var hopeless []*task
-	soonest, ahead := now.Add(q.shortest()), q.ahead()
+	soonest, ahead, pressed := now.Add(q.shortest()), q.ahead(), q.pressed()
 	q.tasks = slices.DeleteFunc(q.tasks, func(t *task) bool {
-		useless := soonest.After(t.Last) || t.waitedLate(now, ahead)
+		// Late ones get no place while the queue is long; what no work was done
+		// for is told so at once.
+		crowdedOut := pressed && !t.followsUp() && now.Add(ahead).After(t.Goal)
+		useless := soonest.After(t.Last) || t.waitedLate(now, ahead) || crowdedOut
 		if !t.ended && !useless {
 			return false
 		}
--- a/internal/server/batcher/queue_test.go
+++ b/internal/server/batcher/queue_test.go
@@ -134,6 +134,23 @@
 	is.Equal(len(hopeless), 1)
 }
 
+// TestLatePiecesAreToldAtOnceWhileTheQueueIsLong holds that nobody waits for a place
+// that will not come; what work was done for may still get one.
+func TestLatePiecesAreToldAtOnceWhileTheQueueIsLong(t *testing.T) {
+	is := is.New(t)
+	q := newTestQueue(1)
+	for range 3 {
+		q.add(testTask("a", 14, 1, 2*time.Second, 8*time.Second))
+	}
+	first, later := testTask("b", 1, 1, 0, 8*time.Second), testTask("c", 1, 1, 0, 8*time.Second)
+	later.Inputs = []string{"made before"}
+	q.add(first)
+	q.add(later)
+	_, hopeless := q.next(start)
+	is.Equal(len(hopeless), 1)
+	is.Equal(hopeless[0], first)
+}
+
 func TestRoomThatOthersTakeComesBack(t *testing.T) {
 	is := is.New(t)
 	q := newTestQueue(1)
