--- a/internal/server/gossiper/gossiper.go
+++ b/internal/server/gossiper/gossiper.go
@@ -195,7 +195,7 @@
 		if change.GetAfter() <= known {
 			upTo = version
 		}
-		g.log.V(1).Info("changes had from another instance", "table", name, "from", from, "rows", len(change.GetRows()), "version", upTo)
+		g.log.Info("changes had from another instance", "table", name, "from", from, "rows", len(change.GetRows()), "version", upTo)
 		g.tables.Follow(name, decode(change.GetRows()), upTo)
 	}
 	g.mu.Lock()
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -47,6 +47,8 @@
 	failures  int
 	quick     int
 	lost      time.Time
+	// led is set while other instances follow the table for this one.
+	led bool
 }
 
 func newFollower(r *Registrar, feed server.Feed, table string) *follower {
@@ -71,7 +73,7 @@
 	if !f.loaded {
 		return f.load(ctx)
 	}
-	if f.registrar.led(f.table) {
+	if f.follows() {
 		return ledWait
 	}
 	// Other instances may have told more than the store did.
@@ -107,6 +109,16 @@
 	return 0
 }
 
+// follows reports whether other instances follow the table for this one.
+func (f *follower) follows() bool {
+	led := f.registrar.led(f.table)
+	if led != f.led {
+		f.led = led
+		f.registrar.log.Info("followers of the store changed", "table", f.table, "others_follow", led, "version", f.registrar.Version(f.table))
+	}
+	return led
+}
+
 // hold is how long the store may hold a watch.
 func (f *follower) hold() time.Duration {
 	if f.registrar.leading() {
