Keep each teller of a version once

Found by reading: leaders say each 0.4 s which version they know, and each word was appended to those who told of it; in quiet times the list grew by 37 entries a second, for good. Also: a question that a timer begins after Stop no longer joins the work that Stop has waited for. TestLeadersWordsTakeNoRoom failed before.

--- a/internal/server/gossiper/gossiper.go
+++ b/internal/server/gossiper/gossiper.go
@@ -108,10 +108,21 @@
 // Stop ends all questions.
 func (g *Gossiper) Stop() {
 	g.stop()
+	g.mu.Lock()
 	g.cancel()
+	g.mu.Unlock()
 	g.work.Wait()
 }
 
+// spawn runs what Stop waits for; after Stop it runs nothing.
+func (g *Gossiper) spawn(work func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ctx.Err() == nil {
+		g.work.Go(work)
+	}
+}
+
 // Changed notes that tables may have changed here.
 func (g *Gossiper) Changed() {
 	g.mu.Lock()
@@ -207,7 +218,7 @@
 			// The store is not asked here, and will not tell.
 			wait = rand.N(spreadWait)
 		}
-		g.timer.After(wait, func(time.Time) { g.work.Go(func() { g.catchUp(name, t) }) })
+		g.timer.After(wait, func(time.Time) { go g.spawn(func() { g.catchUp(name, t) }) })
 	}
 }
 
@@ -221,7 +232,9 @@
 	case version > t.heard:
 		t.heard, t.tellers = version, nil
 	}
-	t.tellers = append(t.tellers, from)
+	if !slices.Contains(t.tellers, from) {
+		t.tellers = append(t.tellers, from)
+	}
 	return true
 }
 
--- a/internal/server/gossiper/leader_test.go
+++ b/internal/server/gossiper/leader_test.go
@@ -204,3 +204,17 @@
 		is.True(f.members[2].LastFailure().Sub(failed).Abs() <= 5*time.Millisecond)
 	})
 }
+
+// TestLeadersWordsTakeNoRoom holds that what leaders say again and again is kept once.
+func TestLeadersWordsTakeNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(20, "i-0", "i-1", "i-2")
+		defer f.stop()
+		f.follow(newStore())
+		time.Sleep(time.Minute)
+		tellers := f.members[9].gossiper.Tellers(plans)
+		is.True(len(tellers) > 0)
+		is.True(len(tellers) < 20)
+	})
+}
