--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -51,7 +51,7 @@
 	if len(f.view.Replicas(f.service)) == 0 {
 		return f.refuse("no replica of the service is registered", refusedWait)
 	}
-	expected, queued, age := f.expected(onTime)
+	expected, queued, age := f.expected()
 	late, left := f.late(expected), f.last().Sub(f.Timer.Now())
 	if expected <= left && (late <= 0 || queued < queuedLeast) {
 		return true
@@ -84,16 +84,11 @@
 	return last
 }
 
-// onTime and afterAll say which part of a service's outlook counts: what a piece
-// waits for that is on time, or for everything that waits now.
-func onTime(o *batcher.Outlook) time.Duration   { return max(o.Until-o.Call, 0) }
-func afterAll(o *batcher.Outlook) time.Duration { return max(o.Backlog-o.Call, 0) }
-
 // expected estimates the time to the first byte of the answer along the
 // request's critical path, the part of it that is queueing, and the age of the
 // oldest estimate in it. The queue of a later stage drains while the stages before
 // are made.
-func (f *flow) expected(wait func(*batcher.Outlook) time.Duration) (total, queued, age time.Duration) {
+func (f *flow) expected() (total, queued, age time.Duration) {
 	stages := f.route.Stages
 	ends, waits := make([]time.Duration, len(stages)), make([]time.Duration, len(stages))
 	for i, stage := range stages {
@@ -104,7 +99,7 @@
 		}
 		if i < len(f.traits.Pieces) && f.traits.Pieces[i] > 0 {
 			outlook := f.outlook(stage.Service)
-			queue := wait(&outlook)
+			queue := max(outlook.Until-outlook.Call, 0)
 			waits[i] += max(queue-ends[i], 0)
 			ends[i] = max(ends[i], queue) + outlook.Call
 			age = max(age, outlook.Age)
@@ -222,7 +217,7 @@
 	for i, stage := range f.route.Stages {
 		if i < len(f.traits.Pieces) && f.traits.Pieces[i] > 0 {
 			outlook := f.outlook(stage.Service)
-			wait = max(wait, afterAll(&outlook))
+			wait = max(wait, outlook.Backlog-outlook.Call)
 		}
 	}
 	return wait
