--- a/internal/server/limiter/limiter.go
+++ b/internal/server/limiter/limiter.go
@@ -162,10 +162,12 @@
 		a.mu.Unlock()
 		reached = sent && l.await(a, answered)
 	}
+	// No round brought credit, and no owner said that the limit is reached.
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.waiting -= waiting
-	return aheadTime, false
+	outcome, after := a.take(l.timer.Now(), t, l.part(), false)
+	return after, outcome == taken
 }
 
 // request asks the owner unless an answer is due already; a.mu is held.
