--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -89,11 +89,12 @@
 // New builds an instance and opens its sockets; Start begins to serve. The log is
 // written to out as JSON lines.
 func New(settings Settings, adapter Adapter, out io.Writer) (*Instance, error) {
-	timer := ticker.New()
+	relayMeter := meter.NewRelayMeter()
+	timer := ticker.New(ticker.WithDelayRecorder(relayMeter.RecordTimerDelay))
 	logRecorder := recorder.New(out, timer)
 	log := logr.FromSlogHandler(slog.NewJSONHandler(logRecorder, nil)).WithValues("instance", settings.ID)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
-	i := &Instance{settings: settings, log: log, recorder: logRecorder, timer: timer, store: adapter.Store, meter: meter.NewRelayMeter()}
+	i := &Instance{settings: settings, log: log, recorder: logRecorder, timer: timer, store: adapter.Store, meter: relayMeter}
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	listeners, err := i.listen()
 	if err != nil {
--- a/internal/server/composer/counters.go
+++ b/internal/server/composer/counters.go
@@ -26,6 +26,12 @@
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_log_dropped_total", Help: "Log lines dropped since the volume is bounded.",
 	}, func() uint64 { _, _, dropped := i.recorder.Counts(); return dropped })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_store_failures_total", Help: "Calls to the store that failed.",
+	}, i.registrar.FailureCount)
+	i.meter.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "oriolemill_replicas_kept", Help: "Replicas kept for now though their registration is missing.",
+	}, func() float64 { return float64(i.registrar.PendingRemovals()) }))
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_connections_opened_total", Help: "Connections opened to replicas.",
 	}, func() uint64 { opened, _ := i.dialer.Counts(); return opened })
--- a/internal/server/meter/relay.go
+++ b/internal/server/meter/relay.go
@@ -17,6 +17,7 @@
 	attempts       *prometheus.CounterVec
 	attemptSeconds *prometheus.HistogramVec
 	stagesSeconds  *prometheus.HistogramVec
+	timerDelay     prometheus.Histogram
 }
 
 // durationBuckets returns the upper bounds of histogram buckets from 1 ms to 16 s.
@@ -41,8 +42,11 @@
 		stagesSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "oriolemill_relay_staged_seconds", Help: "Time until a request's stages were made.", Buckets: durationBuckets(),
 		}, []string{"route"}),
+		timerDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "oriolemill_timer_delay_seconds", Help: "Time by which timers fire late.", Buckets: durationBuckets(),
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.attemptSeconds, m.stagesSeconds, collectors.NewGoCollector())
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.attempts, m.attemptSeconds, m.stagesSeconds, m.timerDelay, collectors.NewGoCollector())
 	return m
 }
 
@@ -65,6 +69,9 @@
 	m.attemptSeconds.WithLabelValues(service).Observe(duration.Seconds())
 }
 
+// RecordTimerDelay records by how much a timer fired late.
+func (m *RelayMeter) RecordTimerDelay(delay time.Duration) { m.timerDelay.Observe(delay.Seconds()) }
+
 // RecordStages implements relayer.Meter.
 func (m *RelayMeter) RecordStages(route string, duration time.Duration) {
 	m.stagesSeconds.WithLabelValues(route).Observe(duration.Seconds())
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -168,6 +168,7 @@
 		return 0
 	}
 	now := f.registrar.timer.Now()
+	f.registrar.failureCount.Add(1)
 	f.registrar.RecordFailure(now)
 	if f.failures == 0 {
 		f.failedSince = now
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -59,7 +59,9 @@
 	// lastFailure is when a call to the store last failed, here or elsewhere.
 	lastFailure time.Time
 	// lastResponse is when the store last responded to this instance, by table.
-	lastResponse       map[string]time.Time
+	lastResponse map[string]time.Time
+	// failureCount is the number of calls of this instance to the store that failed.
+	failureCount       atomic.Uint64
 	hasLeader          func(table string) bool
 	isLeader           func() bool
 	leaderWatchTimeout time.Duration
@@ -134,6 +136,17 @@
 	return r.lastResponse[table]
 }
 
+// FailureCount returns the number of calls of this instance to the store that failed.
+func (r *Registrar) FailureCount() uint64 { return r.failureCount.Load() }
+
+// PendingRemovals returns the number of replicas that are kept for now though their row was
+// deleted.
+func (r *Registrar) PendingRemovals() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.pendingRemovals)
+}
+
 // recordResponse records that the store responded to a call for a table.
 func (r *Registrar) recordResponse(table string) {
 	r.mu.Lock()
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -94,6 +94,8 @@
 	reason         string
 	replica        string
 	stagesDuration time.Duration
+	// sendDelay is the time from the arrival of the request to the start of its last attempt.
+	sendDelay time.Duration
 	// stageDurations is the duration of each stage in milliseconds, for the log line.
 	stageDurations string
 	firstByteDelay time.Duration
@@ -189,6 +191,7 @@
 	}
 	f.tryCount++
 	startedAt := f.Timer.Now()
+	f.sendDelay = startedAt.Sub(f.arrivedAt)
 	outcome := f.send(&replica)
 	duration := f.Timer.Now().Sub(startedAt)
 	f.Meter.RecordAttempt(f.service, outcome.String(), duration)
@@ -333,6 +336,6 @@
 	f.Meter.RecordRequest(routeName, f.outcome, f.status, duration)
 	f.Log.Info("request", "request", f.info.ID, "route", routeName, "plan", planVersion, "workspace", workspace, "priority", f.priority, "rank", f.rank,
 		"patience_ms", f.info.ClientTimeout.Milliseconds(), "service", f.service, "replica", f.replica, "outcome", f.outcome, "status", f.status, "reason", f.reason,
-		"attempts", f.attemptCount, "tries", f.tryCount, "took_ms", duration.Milliseconds(), "staged_ms", f.stagesDuration.Milliseconds(), "stage_ms", f.stageDurations,
+		"attempts", f.attemptCount, "tries", f.tryCount, "took_ms", duration.Milliseconds(), "staged_ms", f.stagesDuration.Milliseconds(), "sent_ms", f.sendDelay.Milliseconds(), "stage_ms", f.stageDurations,
 		"first_ms", f.firstByteDelay.Milliseconds(), "last_event", f.events.lastID)
 }
--- a/internal/server/ticker/schedule.go
+++ b/internal/server/ticker/schedule.go
@@ -47,29 +47,30 @@
 	}
 }
 
-// popDue returns the first subscription if it is due, and sets the time of its next
-// call or removes it. Otherwise it returns nil and the time until one is due.
+// popDue returns the first subscription and its due time if it is due, and sets the time
+// of its next call or removes it. Otherwise it returns nil and the time until one is due.
 // Intervals that have passed completely, for example while the process was paused,
 // are skipped.
-func (s *schedule) popDue(now time.Time) (*subscription, time.Duration) {
+func (s *schedule) popDue(now time.Time) (sub *subscription, dueTime time.Time, wait time.Duration) {
 	if len(s.subscriptions) == 0 {
-		return nil, emptyWait
+		return nil, time.Time{}, emptyWait
 	}
-	sub := s.subscriptions[0]
-	if sub.dueTime.After(now) {
-		return nil, sub.dueTime.Sub(now)
+	sub = s.subscriptions[0]
+	dueTime = sub.dueTime
+	if dueTime.After(now) {
+		return nil, time.Time{}, dueTime.Sub(now)
 	}
 	if sub.interval <= 0 {
 		heap.Pop(&s.subscriptions)
 		sub.isRemoved = true
-		return sub, 0
+		return sub, dueTime, 0
 	}
 	sub.dueTime = sub.dueTime.Add(sub.interval)
 	if !sub.dueTime.After(now) {
 		sub.dueTime = now.Add(sub.interval)
 	}
 	heap.Fix(&s.subscriptions, 0)
-	return sub, 0
+	return sub, dueTime, 0
 }
 
 // subscriptionHeap implements heap.Interface.
--- a/internal/server/ticker/ticker.go
+++ b/internal/server/ticker/ticker.go
@@ -18,11 +18,25 @@
 	notified  chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
+	// onCall is called before each function with the time since the call was due.
+	onCall func(delay time.Duration)
+}
+
+// Option sets a property of a Ticker.
+type Option func(*Ticker)
+
+// WithDelayRecorder sets a function that is called before each call of a subscribed
+// function with the time since that call was due. It must not block.
+func WithDelayRecorder(record func(delay time.Duration)) Option {
+	return func(t *Ticker) { t.onCall = record }
 }
 
 // New returns a running timer service.
-func New() *Ticker {
-	t := &Ticker{notified: make(chan struct{}, 1), done: make(chan struct{})}
+func New(options ...Option) *Ticker {
+	t := &Ticker{notified: make(chan struct{}, 1), done: make(chan struct{}), onCall: func(time.Duration) {}}
+	for _, option := range options {
+		option(t)
+	}
 	go t.run()
 	return t
 }
@@ -86,7 +100,7 @@
 	for {
 		now := time.Now()
 		t.mu.Lock()
-		sub, wait := t.schedule.popDue(now)
+		sub, dueTime, wait := t.schedule.popDue(now)
 		t.mu.Unlock()
 		if sub == nil {
 			return wait
@@ -95,6 +109,7 @@
 		case <-t.done:
 			return wait
 		default:
+			t.onCall(now.Sub(dueTime))
 			sub.callback(now)
 		}
 	}
--- a/internal/server/ticker/virtual.go
+++ b/internal/server/ticker/virtual.go
@@ -67,7 +67,7 @@
 		v.now = at
 	}
 	now := v.now
-	sub, _ := v.schedule.popDue(now)
+	sub, _, _ := v.schedule.popDue(now)
 	v.mu.Unlock()
 	sub.callback(now)
 	return true
