--- a/internal/server/gossiper/gossiper_test.go
+++ b/internal/server/gossiper/gossiper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,12 +29,22 @@
 	maxPlanDelay       = 3 * time.Second
 )
 
-// decoder rejects every row, as these tests look at rows only in their encoded form.
+// decoder accepts only rows of replicas with the value replicaValue. Most of these tests
+// look at rows only in their encoded form.
 type decoder struct{}
 
+const (
+	// replicaValue is the value of the row of a replica of replicaService.
+	replicaValue   = "replica"
+	replicaService = "engine"
+)
+
 func (decoder) DecodePlan([]byte) (*server.Plan, error) { return nil, server.ErrInvalid }
-func (decoder) DecodeReplica(string, []byte, time.Time) (server.Replica, error) {
-	return server.Replica{}, server.ErrInvalid
+func (decoder) DecodeReplica(id string, value []byte, _ time.Time) (server.Replica, error) {
+	if string(value) != replicaValue {
+		return server.Replica{}, server.ErrInvalid
+	}
+	return server.Replica{ID: id, Service: replicaService, Address: id}, nil
 }
 
 // member is one instance of a fleet.
@@ -47,6 +58,8 @@
 	busyUntil time.Time
 	sentBytes int
 	cut       bool
+	// viewCount is the number of views that the member has published.
+	viewCount atomic.Int64
 }
 
 // fleet is many instances whose links have a limited bandwidth.
@@ -62,7 +75,10 @@
 	for i := range count {
 		m := &member{id: fmt.Sprintf("i-%d", i), fleet: f}
 		m.Registrar = registrar.New(logr.Discard(), f.timer, decoder{}, registrar.TableNames{Plan: plansTable, PlanRow: "newest", Replicas: "replicas"},
-			registrar.WithChangeHandler(func(*registrar.View) { m.gossiper.NotifyChanged() }),
+			registrar.WithChangeHandler(func(*registrar.View) {
+				m.viewCount.Add(1)
+				m.gossiper.NotifyChanged()
+			}),
 			registrar.WithLeaders(func(table string) bool { return m.gossiper.HasLeader(table) }, func() bool { return m.gossiper.IsLeader() }, gossiper.LeaderWatchTimeout))
 		m.gossiper = gossiper.New(logr.Discard(), f.timer, m, m)
 		f.members = append(f.members, m)
--- a/internal/server/gossiper/leader_test.go
+++ b/internal/server/gossiper/leader_test.go
@@ -21,8 +21,9 @@
 	changed chan struct{}
 	calls   int
 	// unavailable holds the IDs of the instances whose calls hang until their context
-	// ends.
+	// ends, refused those whose calls fail at once.
 	unavailable map[string]bool
+	refused     map[string]bool
 }
 
 // storeClient is the connection of one member to a fakeStore.
@@ -32,7 +33,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{version: 1, changed: make(chan struct{}), unavailable: make(map[string]bool)}
+	return &fakeStore{version: 1, changed: make(chan struct{}), unavailable: make(map[string]bool), refused: make(map[string]bool)}
 }
 
 func (s *fakeStore) write(name, value string, deleted bool) {
@@ -55,6 +56,15 @@
 	s.changed = make(chan struct{})
 }
 
+// setRefused makes the calls of an instance fail at once, or lets them through again.
+func (s *fakeStore) setRefused(id string, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[id] = refused
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeStore) callCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,9 +88,11 @@
 				rows = append(rows, row)
 			}
 		}
-		version, changed, unavailable := c.version, c.changed, c.unavailable[c.id]
+		version, changed, unavailable, refused := c.version, c.changed, c.unavailable[c.id], c.refused[c.id]
 		c.mu.Unlock()
 		switch {
+		case refused:
+			return nil, 0, server.ErrUnavailable
 		case unavailable:
 			if err := ctx.Err(); err != nil {
 				return nil, 0, err
