Keep one timer for the removals of replicas that are kept for now

Callers saw requests that were read, answered and cancelled seconds late on all instances at once, and instances that ended for lack of memory.

Cause: each kept replica has a timer. A failed call to the store postpones the removals, and each timer that then fires too early set a new timer for every kept replica: their number multiplied with each postponement. Every timer published a new view, which all components process.

The load of requests and the bytes between instances did not rise in the incidents.

Change: one timer, for the removal that is due next; a timer that removes nothing publishes nothing.

The replicas are still kept for as long as calls fail, which is the next fault.

--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -55,7 +55,9 @@
 	// pendingRemovals holds, by ID, the replicas that are kept for now though their row
 	// was deleted. They are in replicas too.
 	pendingRemovals map[string]pendingRemoval
-	instances       map[string]server.Instance
+	// stopRemovalTimer stops the timer for the next pending removal.
+	stopRemovalTimer func()
+	instances        map[string]server.Instance
 	// lastFailure is when a call to the store last failed, here or elsewhere.
 	lastFailure time.Time
 	// lastResponse is when the store last responded to this instance, by table.
@@ -88,7 +90,7 @@
 		log: log, timer: timer, decoder: decoder, tableNames: names, onChange: func(*View) {},
 		tables:   map[string]*table{names.Plan: newTable(), names.Replicas: newTable(), TableInstances: newTable()},
 		replicas: make(map[string]server.Replica), pendingRemovals: make(map[string]pendingRemoval),
-		instances: make(map[string]server.Instance), lastResponse: make(map[string]time.Time),
+		instances: make(map[string]server.Instance), lastResponse: make(map[string]time.Time), stopRemovalTimer: func() {},
 		hasLeader: func(string) bool { return false }, isLeader: func() bool { return false },
 	}
 	for _, option := range options {
@@ -312,22 +314,45 @@
 	at := r.lastFailure.Add(recoveryGrace)
 	r.pendingRemovals[id] = pendingRemoval{replica: replica, removeAt: at}
 	r.log.Info("registration is missing after a failure of the store; replica kept for now", "replica", id, "service", replica.Service, "wait_ms", at.Sub(now).Milliseconds())
-	r.timer.After(max(at.Sub(now), time.Millisecond), func(now time.Time) { go r.removeExpired(now) })
+	r.scheduleRemovals(now)
 }
 
-// removeExpired removes the replicas whose pending removal is due and publishes a new
-// view.
+// scheduleRemovals sets the timer for the next pending removal. There is one timer for all
+// of them. The caller holds mu.
+func (r *Registrar) scheduleRemovals(now time.Time) {
+	r.stopRemovalTimer()
+	r.stopRemovalTimer = func() {}
+	if len(r.pendingRemovals) == 0 {
+		return
+	}
+	var next time.Time
+	for _, removal := range r.pendingRemovals {
+		if next.IsZero() || removal.removeAt.Before(next) {
+			next = removal.removeAt
+		}
+	}
+	r.stopRemovalTimer = r.timer.After(max(next.Sub(now), time.Millisecond), func(now time.Time) { go r.removeExpired(now) })
+}
+
+// removeExpired removes the replicas whose pending removal is due. It publishes a new view
+// if there are any.
 func (r *Registrar) removeExpired(now time.Time) {
 	r.mu.Lock()
+	removed := 0
 	for id, removal := range r.pendingRemovals {
 		if now.Before(removal.removeAt) {
-			r.timer.After(removal.removeAt.Sub(now), func(now time.Time) { go r.removeExpired(now) })
 			continue
 		}
+		removed++
 		delete(r.pendingRemovals, id)
 		delete(r.replicas, id)
 		r.log.Info("replica removed", "replica", id, "service", removal.replica.Service, "address", removal.replica.Address)
 	}
+	r.scheduleRemovals(now)
+	if removed == 0 {
+		r.mu.Unlock()
+		return
+	}
 	view := r.publish()
 	r.mu.Unlock()
 	r.onChange(view)
