Remove a replica at once unless its row was read after an outage

Callers saw requests sent to replicas up to 9 s after these had left by deleting their registration; 3 s are allowed.

Cause: a deletion was put down to the store's unavailability if any instance had reported a failed call within 3 s, and each further report postponed the removal again. Reports were merged and passed on by all instances. So one leader that the store refuses kept every leaving replica in use on all 85 instances, although the four other leaders read the deletion from a store that served them all the time. The class: a decision is made from knowledge whose age and origin are lost on the way, and nothing bounds how long it holds.

TestReplicasAreRemovedWhileStoreRefusesOneLeader failed on every run.

Change: the instance that reads a change from the store states with it when the store responded to it again after failed calls, if so; the time is passed on with the change instead of with every announcement. A deletion waits until 1.9 s after that time, and nothing prolongs the wait. Failed calls of others do not count. TestStoreFailureIsSentWithAnnouncements becomes TestStoreRecoveryIsSentWithChanges with the same bound, as there is no failure to send any more.

Ruled out: a cap on the postponed wait, since it would still let one refused instance delay each removal on all others by 1.9 s, of 2 s allowed on small deployments.

TestReplicasStayInUseWhenTheirRowsExpireInAnOutage, new, passes; with a wait of zero it fails.

--- a/internal/server/gossiper/gossiper.go
+++ b/internal/server/gossiper/gossiper.go
@@ -33,8 +33,8 @@
 	// maxFetchJitter bounds the random delay before a request that follows an
 	// announcement, so that not all instances send theirs at once.
 	maxFetchJitter = 100 * time.Millisecond
-	// failureMaxAge is how long announcements mention a failed call to the store.
-	failureMaxAge = 3 * time.Second
+	// recoveryMaxAge is how long announcements mention that the store responds again.
+	recoveryMaxAge = 3 * time.Second
 	// enoughAnnouncers is the number of instances whose announcements of a version make
 	// one by this instance superfluous.
 	enoughAnnouncers = 3
@@ -51,17 +51,16 @@
 	Rows(table string) (rows []server.StoredRow, version uint64, ok bool)
 	// ChangesSince returns the changes of a table after a version.
 	ChangesSince(table string, after uint64) []server.StoredRow
-	// ApplyChanges applies changes of a table, which is then known up to version.
-	ApplyChanges(table string, rows []server.StoredRow, version uint64)
+	// ApplyChanges applies changes of a table, which is then known up to version. See
+	// RecoveredAt for recoveredAt.
+	ApplyChanges(table string, rows []server.StoredRow, version uint64, recoveredAt time.Time)
 	// Replace replaces a whole table by its rows as of version.
-	Replace(table string, rows []server.StoredRow, version uint64)
+	Replace(table string, rows []server.StoredRow, version uint64, recoveredAt time.Time)
 	// LastResponse returns when the store last responded to a call for a table.
 	LastResponse(table string) time.Time
-	// LastFailure returns when a call to the store last failed here or, as far as
-	// announced, elsewhere.
-	LastFailure() time.Time
-	// RecordFailure records a failed call to the store.
-	RecordFailure(at time.Time)
+	// RecoveredAt returns when the store responded again, after failed calls, to the
+	// instance that read the newest changes of a table. It is zero if no call failed.
+	RecoveredAt(table string) time.Time
 }
 
 // PeerLinks carries frames to the other instances. It is safe for concurrent use.
@@ -164,15 +163,11 @@
 	g.broadcast(announcement)
 }
 
-// broadcast sends an announcement, with the age of the last failed call to the store
-// if it is below failureMaxAge. It sends nothing if the announcement has no tables.
+// broadcast sends an announcement. It sends nothing if the announcement has no tables.
 func (g *Gossiper) broadcast(announcement *encoder.VersionAnnouncement) {
 	if len(announcement.GetTables()) == 0 {
 		return
 	}
-	if age := g.timer.Now().Sub(g.tables.LastFailure()); age < failureMaxAge {
-		announcement.StoreFailureAgeMs = uint32(age.Milliseconds()) + 1
-	}
 	g.links.Broadcast(&encoder.Frame{Body: &encoder.Frame_VersionAnnouncement{VersionAnnouncement: announcement}})
 }
 
@@ -190,7 +185,7 @@
 	if t.receivedVersion >= version && len(t.announcers) >= enoughAnnouncers {
 		return nil
 	}
-	change := &encoder.TableVersion{Table: name, Version: version, BaseVersion: after}
+	change := &encoder.TableVersion{Table: name, Version: version, BaseVersion: after, StoreRecoveryAgeMs: g.recoveryAge(name)}
 	bytes := 0
 	for _, row := range g.tables.ChangesSince(name, after) {
 		bytes += len(row.Name) + len(row.Value)
@@ -204,9 +199,6 @@
 
 // HandleAnnouncement handles another instance's announcement.
 func (g *Gossiper) HandleAnnouncement(from string, announcement *encoder.VersionAnnouncement) {
-	if age := announcement.GetStoreFailureAgeMs(); age > 0 {
-		g.tables.RecordFailure(g.timer.Now().Add(-time.Duration(age-1) * time.Millisecond))
-	}
 	for _, change := range announcement.GetTables() {
 		if announcement.GetIsLeader() {
 			g.recordLeader(from, change.GetTable())
@@ -231,7 +223,7 @@
 			upToVersion = version
 		}
 		g.log.Info("changes received from another instance", "table", name, "from", from, "rows", len(change.GetRows()), "version", upToVersion)
-		g.tables.ApplyChanges(name, decodeRows(change.GetRows()), upToVersion)
+		g.tables.ApplyChanges(name, decodeRows(change.GetRows()), upToVersion, g.recoveryTime(change.GetStoreRecoveryAgeMs()))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -310,7 +302,7 @@
 		return false
 	}
 	g.log.Info("table fetched from another instance", "table", name, "from", from, "version", table.GetVersion(), "rows", len(table.GetRows()))
-	g.tables.Replace(name, decodeRows(table.GetRows()), table.GetVersion())
+	g.tables.Replace(name, decodeRows(table.GetRows()), table.GetVersion(), g.recoveryTime(table.GetStoreRecoveryAgeMs()))
 	return true
 }
 
@@ -318,13 +310,31 @@
 // instance knows them.
 func (g *Gossiper) HandleRowsRequest(name string) *encoder.Frame {
 	rows, version, ok := g.tables.Rows(name)
-	response := &encoder.RowsResponse{Version: version, Available: ok}
+	response := &encoder.RowsResponse{Version: version, Available: ok, StoreRecoveryAgeMs: g.recoveryAge(name)}
 	for _, row := range rows {
 		response.Rows = append(response.Rows, encodeRow(row))
 	}
 	return &encoder.Frame{Body: &encoder.Frame_RowsResponse{RowsResponse: response}}
 }
 
+// recoveryAge returns the age of the time that RecoveredAt returns for a table, as messages
+// state it.
+func (g *Gossiper) recoveryAge(name string) uint32 {
+	age := g.timer.Now().Sub(g.tables.RecoveredAt(name))
+	if age >= recoveryMaxAge {
+		return 0
+	}
+	return uint32(max(age, 0).Milliseconds()) + 1
+}
+
+// recoveryTime returns the time that an age in a message states; zero for none.
+func (g *Gossiper) recoveryTime(age uint32) time.Time {
+	if age == 0 {
+		return time.Time{}
+	}
+	return g.timer.Now().Add(-time.Duration(age-1) * time.Millisecond)
+}
+
 func encodeRow(row server.StoredRow) *encoder.StoreRow {
 	return &encoder.StoreRow{Name: row.Name, Value: row.Value, Version: row.Version, Deleted: row.IsDeleted}
 }
--- a/internal/server/gossiper/gossiper_test.go
+++ b/internal/server/gossiper/gossiper_test.go
@@ -84,7 +84,7 @@
 		f.members = append(f.members, m)
 	}
 	for _, m := range f.members {
-		m.Replace(plansTable, []server.StoredRow{{Name: "newest", Value: []byte("1"), Version: 1}}, 1)
+		m.Replace(plansTable, []server.StoredRow{{Name: "newest", Value: []byte("1"), Version: 1}}, 1, time.Time{})
 	}
 	time.Sleep(5 * time.Second)
 	return f
@@ -171,7 +171,7 @@
 		defer f.stop()
 		largeRows := []server.StoredRow{{Name: "newest", Value: make([]byte, 300<<10), Version: 9}}
 		for _, m := range f.members[:40] {
-			m.ApplyChanges(plansTable, largeRows, 9)
+			m.ApplyChanges(plansTable, largeRows, 9, time.Time{})
 		}
 		time.Sleep(maxPlanDelay)
 		is.Equal(f.countAtVersion(9), 81)
@@ -190,8 +190,8 @@
 		is := is.New(t)
 		f := newFleet(9)
 		defer f.stop()
-		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "a", Value: []byte("2"), Version: 7}}, 8)
-		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "a", Version: 9, IsDeleted: true}, {Name: "b", Value: []byte("3"), Version: 10}}, 12)
+		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "a", Value: []byte("2"), Version: 7}}, 8, time.Time{})
+		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "a", Version: 9, IsDeleted: true}, {Name: "b", Value: []byte("3"), Version: 10}}, 12, time.Time{})
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(f.countAtVersion(12), 9)
 		for _, m := range f.members {
@@ -212,13 +212,13 @@
 		lagging.mu.Lock()
 		lagging.cut = true
 		lagging.mu.Unlock()
-		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "a", Value: []byte("2"), Version: 7}}, 8)
+		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "a", Value: []byte("2"), Version: 7}}, 8, time.Time{})
 		time.Sleep(time.Second)
 		is.Equal(f.countAtVersion(8), 8)
 		lagging.mu.Lock()
 		lagging.cut = false
 		lagging.mu.Unlock()
-		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "b", Value: []byte("3"), Version: 10}}, 10)
+		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "b", Value: []byte("3"), Version: 10}}, 10, time.Time{})
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(lagging.Version(plansTable), uint64(1)) // b is applied, but a change before it is missing
 		time.Sleep(time.Second)
--- a/internal/server/gossiper/leader_test.go
+++ b/internal/server/gossiper/leader_test.go
@@ -56,11 +56,13 @@
 	s.changed = make(chan struct{})
 }
 
-// setRefused makes the calls of an instance fail at once, or lets them through again.
-func (s *fakeStore) setRefused(id string, refused bool) {
+// setRefused makes the calls of instances fail at once, or lets them through again.
+func (s *fakeStore) setRefused(refused bool, ids ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.refused[id] = refused
+	for _, id := range ids {
+		s.refused[id] = refused
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -204,21 +206,20 @@
 	}
 }
 
-// TestStoreFailureIsSentWithAnnouncements checks that an instance that receives the
-// removal of a row is also informed that a call to the store failed shortly before: the
-// row may only have expired.
-func TestStoreFailureIsSentWithAnnouncements(t *testing.T) {
+// TestStoreRecoveryIsSentWithChanges checks that an instance that receives the removal of a
+// row is also informed that the store had failed, shortly before, the instance that read
+// the removal: the row may only have expired.
+func TestStoreRecoveryIsSentWithChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(3)
 		defer f.stop()
-		failedAt := time.Now()
-		f.members[0].RecordFailure(failedAt)
+		recoveredAt := time.Now()
 		time.Sleep(500 * time.Millisecond)
-		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "newest", Version: 5, IsDeleted: true}}, 5)
+		f.members[0].ApplyChanges(plansTable, []server.StoredRow{{Name: "newest", Version: 5, IsDeleted: true}}, 5, recoveredAt)
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(f.countAtVersion(5), 3)
-		is.True(f.members[2].LastFailure().Sub(failedAt).Abs() <= 5*time.Millisecond)
+		is.True(f.members[2].RecoveredAt(plansTable).Sub(recoveredAt).Abs() <= 5*time.Millisecond)
 	})
 }
 
--- a/internal/server/gossiper/removal_test.go
+++ b/internal/server/gossiper/removal_test.go
@@ -17,25 +17,35 @@
 	leavingReplicas = 4
 )
 
-// newFleetWithRefusedLeader returns a fleet of 20 instances that know leavingReplicas
-// replicas. The store refuses the calls of i-0, one of three leaders,
-// while it serves the other instances. Then the rows of all replicas are deleted.
-func newFleetWithRefusedLeader() *fleet {
+// newFleetWithReplicas returns a fleet of 20 instances, three of them leaders, that know
+// leavingReplicas replicas, and its store.
+func newFleetWithReplicas() (*fleet, *fakeStore) {
 	f := newFleet(20, "i-0", "i-1", "i-2")
 	s := newFakeStore()
 	f.watchStore(s)
+	writeReplicas(s, replicaValue, false)
+	time.Sleep(30 * time.Second)
+	return f, s
+}
+
+// writeReplicas writes or deletes the rows of all replicas.
+func writeReplicas(s *fakeStore, value string, deleted bool) {
 	for i := range leavingReplicas {
-		s.write(fmt.Sprint("r-", i), replicaValue, false)
+		s.write(fmt.Sprint("r-", i), value, deleted)
 	}
-	time.Sleep(30 * time.Second)
-	s.setRefused("i-0", true)
+}
+
+// newFleetWithRefusedLeader returns such a fleet after the store has refused the calls of
+// one leader, while it serves the other instances, and the rows of all replicas were
+// deleted.
+func newFleetWithRefusedLeader() *fleet {
+	f, s := newFleetWithReplicas()
+	s.setRefused(true, "i-0")
 	time.Sleep(300 * time.Millisecond)
 	for _, m := range f.members {
 		m.viewCount.Store(0)
 	}
-	for i := range leavingReplicas {
-		s.write(fmt.Sprint("r-", i), "", true)
-	}
+	writeReplicas(s, "", true)
 	return f
 }
 
@@ -68,3 +78,35 @@
 		}
 	})
 }
+
+// TestReplicasStayInUseWhenTheirRowsExpireInAnOutage guards against a deployment without
+// replicas after an outage of the store: rows that have expired are back 1.2 s after it.
+func TestReplicasStayInUseWhenTheirRowsExpireInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, s := newFleetWithReplicas()
+		defer f.stop()
+		var ids []string
+		for _, m := range f.members {
+			ids = append(ids, m.id)
+		}
+		s.setRefused(true, ids...)
+		time.Sleep(4 * time.Second)
+		writeReplicas(s, "", true)
+		s.setRefused(false, ids...)
+		for i := range 100 {
+			time.Sleep(50 * time.Millisecond)
+			if i == 24 {
+				writeReplicas(s, replicaValue, false)
+			}
+			for _, m := range f.members {
+				is.Equal(len(m.View().Replicas(replicaService)), leavingReplicas)
+			}
+		}
+		writeReplicas(s, "", true)
+		time.Sleep(maxRemovalDelay)
+		for _, m := range f.members {
+			is.Equal(len(m.View().Replicas(replicaService)), 0)
+		}
+	})
+}
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -99,12 +99,12 @@
 	if err != nil {
 		return f.recordFailure(ctx, err)
 	}
-	f.recordSuccess()
+	recoveredAt := f.recordSuccess()
 	if version < f.version {
 		// Other instances have sent newer rows than this response holds.
 		return quickResponseDelay
 	}
-	f.registrar.ApplyChanges(f.table, rows, version)
+	f.registrar.ApplyChanges(f.table, rows, version, recoveredAt)
 	f.version = version
 	if len(rows) > 0 {
 		f.quickResponses = 0
@@ -155,8 +155,7 @@
 	if err != nil {
 		return f.recordFailure(ctx, err)
 	}
-	f.recordSuccess()
-	f.registrar.Replace(f.table, rows, version)
+	f.registrar.Replace(f.table, rows, version, f.recordSuccess())
 	f.version, f.isLoaded = version, true
 	return f.delayAfterChange()
 }
@@ -169,7 +168,6 @@
 	}
 	now := f.registrar.timer.Now()
 	f.registrar.failureCount.Add(1)
-	f.registrar.RecordFailure(now)
 	if f.failures == 0 {
 		f.failedSince = now
 		f.registrar.log.Info("call to the store failed", "table", f.table, "version", f.version, "cause", err.Error())
@@ -179,11 +177,13 @@
 	return limit/2 + time.Duration(rand.Int64N(int64(limit)))
 }
 
-// recordSuccess records a response of the store.
-func (f *follower) recordSuccess() {
-	f.registrar.recordResponse(f.table)
+// recordSuccess records a response of the store and returns when the store last responded
+// to this instance after failed calls.
+func (f *follower) recordSuccess() (recoveredAt time.Time) {
+	recoveredAt = f.registrar.recordResponse(f.table, f.failures > 0)
 	if f.failures > 0 {
 		f.registrar.log.Info("store responds again", "table", f.table, "away_ms", f.registrar.timer.Now().Sub(f.failedSince).Milliseconds(), "failures", f.failures)
 	}
 	f.failures = 0
+	return recoveredAt
 }
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -20,13 +20,11 @@
 const TableInstances = "instances"
 
 const (
-	// recoveryGrace is how long after the last failed call a replica without a row is
-	// kept. The platform says that a row that expired while the store was unavailable
-	// is written again within about two seconds of the store's recovery.
+	// recoveryGrace is how long after the store has responded again a replica without a
+	// row is kept: the row may only have expired while the store was unavailable. The
+	// platform says that it is then written again within about two seconds of the store's
+	// recovery.
 	recoveryGrace = 1900 * time.Millisecond
-	// failureWindow is how long after a failed call the deletion of a row is put down to
-	// the store's unavailability: the row may only have expired.
-	failureWindow = 3 * time.Second
 )
 
 // TableNames holds the names of the tables of the plan and the replicas, and of the row
@@ -58,8 +56,8 @@
 	// stopRemovalTimer stops the timer for the next pending removal.
 	stopRemovalTimer func()
 	instances        map[string]server.Instance
-	// lastFailure is when a call to the store last failed, here or elsewhere.
-	lastFailure time.Time
+	// recoveredAt is when the store last responded to this instance after failed calls.
+	recoveredAt time.Time
 	// lastResponse is when the store last responded to this instance, by table.
 	lastResponse map[string]time.Time
 	// failureCount is the number of calls of this instance to the store that failed.
@@ -108,27 +106,15 @@
 	return []string{r.tableNames.Plan, r.tableNames.Replicas, TableInstances}
 }
 
-// RecordFailure records that a call to the store failed at a time. It postpones the
-// pending removals of replicas.
-func (r *Registrar) RecordFailure(now time.Time) {
+// RecoveredAt returns when the store responded again, after failed calls, to the instance
+// that read the newest changes of a table. It is zero if no call of that instance failed.
+func (r *Registrar) RecoveredAt(table string) time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !now.After(r.lastFailure) {
-		return
-	}
-	r.lastFailure = now
-	for id, removal := range r.pendingRemovals {
-		removal.removeAt = now.Add(recoveryGrace)
-		r.pendingRemovals[id] = removal
+	if t := r.tables[table]; t != nil {
+		return t.recoveredAt
 	}
-}
-
-// LastFailure returns when a call to the store last failed, here or, as far as
-// announced, for another instance.
-func (r *Registrar) LastFailure() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lastFailure
+	return time.Time{}
 }
 
 // LastResponse returns when the store last responded to a call for a table.
@@ -149,22 +135,30 @@
 	return len(r.pendingRemovals)
 }
 
-// recordResponse records that the store responded to a call for a table.
-func (r *Registrar) recordResponse(table string) {
+// recordResponse records that the store responded to a call for a table, and whether
+// calls before it had failed. It returns when the store last responded after failed calls.
+func (r *Registrar) recordResponse(table string, afterFailure bool) (recoveredAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastResponse[table] = r.timer.Now()
+	now := r.timer.Now()
+	r.lastResponse[table] = now
+	if afterFailure {
+		r.recoveredAt = now
+	}
+	return r.recoveredAt
 }
 
-// ApplyChanges applies changes of a table, which is then known up to version.
-func (r *Registrar) ApplyChanges(name string, rows []server.StoredRow, version uint64) {
-	r.update(name, func(t *table) []string { return t.applyChanges(rows, version) })
+// ApplyChanges applies changes of a table, which is then known up to version. recoveredAt
+// is when the store responded again, after failed calls, to the instance that read the
+// changes from it; zero without failed calls.
+func (r *Registrar) ApplyChanges(name string, rows []server.StoredRow, version uint64, recoveredAt time.Time) {
+	r.update(name, recoveredAt, func(t *table) []string { return t.applyChanges(rows, version) })
 }
 
 // Replace replaces a table by all its rows as of version. Rows that are known in a
-// newer version stay.
-func (r *Registrar) Replace(name string, rows []server.StoredRow, version uint64) {
-	r.update(name, func(t *table) []string { return t.replace(rows, version) })
+// newer version stay. See ApplyChanges for recoveredAt.
+func (r *Registrar) Replace(name string, rows []server.StoredRow, version uint64, recoveredAt time.Time) {
+	r.update(name, recoveredAt, func(t *table) []string { return t.replace(rows, version) })
 }
 
 // Version returns the version that a table is known up to; zero before it was read.
@@ -201,11 +195,14 @@
 
 // update changes a table by merge, which returns the names of the rows that changed.
 // It publishes a new view if there are any or the table was read for the first time.
-func (r *Registrar) update(name string, merge func(*table) []string) {
+func (r *Registrar) update(name string, recoveredAt time.Time, merge func(*table) []string) {
 	r.mu.Lock()
 	t := r.tables[name]
 	wasLoaded := t.isLoaded
 	changedNames := merge(t)
+	if len(changedNames) > 0 {
+		t.recoveredAt = recoveredAt
+	}
 	for _, row := range changedNames {
 		r.applyRow(name, row, t)
 	}
@@ -231,7 +228,7 @@
 			r.applyReplica(row)
 			return
 		}
-		r.removeReplica(key)
+		r.removeReplica(key, t.recoveredAt)
 	case TableInstances:
 		if !exists {
 			delete(r.instances, key)
@@ -296,24 +293,26 @@
 	return replica.Sequence < current.Sequence || current.IsDraining && !replica.IsDraining
 }
 
-// removeReplica removes a replica whose row was deleted. If a call to the store failed
-// within failureWindow, the row may only have expired for that reason: the removal is
-// then postponed until recoveryGrace after the failure, unless the replica is draining.
-// The caller holds mu.
-func (r *Registrar) removeReplica(id string) {
+// removeReplica removes a replica whose row was deleted. If the instance that read the
+// deletion had been without the store until recoveredAt, the row may only have expired for
+// that reason: the removal is then postponed until recoveryGrace after that, unless the
+// replica is draining. The caller holds mu.
+//
+// Failed calls of other instances, and later ones, postpone nothing: the store may refuse
+// some instances while it serves the others and the replicas.
+func (r *Registrar) removeReplica(id string, recoveredAt time.Time) {
 	replica, exists := r.replicas[id]
 	if !exists {
 		return
 	}
-	now := r.timer.Now()
-	if now.Sub(r.lastFailure) > failureWindow || replica.IsDraining {
+	now, removeAt := r.timer.Now(), recoveredAt.Add(recoveryGrace)
+	if !removeAt.After(now) || replica.IsDraining {
 		delete(r.replicas, id)
 		r.log.Info("replica removed", "replica", id, "service", replica.Service, "address", replica.Address)
 		return
 	}
-	at := r.lastFailure.Add(recoveryGrace)
-	r.pendingRemovals[id] = pendingRemoval{replica: replica, removeAt: at}
-	r.log.Info("registration is missing after a failure of the store; replica kept for now", "replica", id, "service", replica.Service, "wait_ms", at.Sub(now).Milliseconds())
+	r.pendingRemovals[id] = pendingRemoval{replica: replica, removeAt: removeAt}
+	r.log.Info("registration is missing after a failure of the store; replica kept for now", "replica", id, "service", replica.Service, "wait_ms", removeAt.Sub(now).Milliseconds())
 	r.scheduleRemovals(now)
 }
 
--- a/internal/server/registrar/registrar_test.go
+++ b/internal/server/registrar/registrar_test.go
@@ -53,8 +53,8 @@
 	timer := ticker.New()
 	t.Cleanup(timer.Close)
 	r := registrar.New(logr.Discard(), timer, decoder{}, tableNames)
-	r.Replace("op", []server.StoredRow{row("config", "plan 7", 10)}, 10)
-	r.Replace("servers", []server.StoredRow{row("i-1", "replica a 1:1 100 1 ready", 11)}, 11)
+	r.Replace("op", []server.StoredRow{row("config", "plan 7", 10)}, 10, time.Time{})
+	r.Replace("servers", []server.StoredRow{row("i-1", "replica a 1:1 100 1 ready", 11)}, 11, time.Time{})
 	return r, is.New(t)
 }
 
@@ -73,9 +73,9 @@
 		defer timer.Close()
 		r := registrar.New(logr.Discard(), timer, decoder{}, tableNames)
 		is.True(!r.View().IsReady())
-		r.Replace("op", []server.StoredRow{row("config", "plan 7", 10)}, 10)
+		r.Replace("op", []server.StoredRow{row("config", "plan 7", 10)}, 10, time.Time{})
 		is.True(!r.View().IsReady())
-		r.Replace("servers", nil, 11)
+		r.Replace("servers", nil, 11, time.Time{})
 		is.True(r.View().IsReady())
 	})
 }
@@ -83,15 +83,15 @@
 func TestPlanVersionNeverDecreases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r, is := newLoadedRegistrar(t)
-		r.ApplyChanges("op", []server.StoredRow{row("config", "plan 9", 12)}, 12)
+		r.ApplyChanges("op", []server.StoredRow{row("config", "plan 9", 12)}, 12, time.Time{})
 		is.Equal(r.View().Router().Plan().Version, uint64(9))
-		r.ApplyChanges("op", []server.StoredRow{row("config", "plan 8", 13)}, 13) // an older plan in a newer row
+		r.ApplyChanges("op", []server.StoredRow{row("config", "plan 8", 13)}, 13, time.Time{}) // an older plan in a newer row
 		is.Equal(r.View().Router().Plan().Version, uint64(9))
-		r.Replace("op", []server.StoredRow{row("config", "plan 7", 10)}, 10) // an older table, as from an instance that is behind
+		r.Replace("op", []server.StoredRow{row("config", "plan 7", 10)}, 10, time.Time{}) // an older table, as from an instance that is behind
 		is.Equal(r.View().Router().Plan().Version, uint64(9))
-		r.ApplyChanges("op", []server.StoredRow{row("config", "?", 14), row("other", "plan 20", 15)}, 15)
+		r.ApplyChanges("op", []server.StoredRow{row("config", "?", 14), row("other", "plan 20", 15)}, 15, time.Time{})
 		is.Equal(r.View().Router().Plan().Version, uint64(9))
-		r.ApplyChanges("op", []server.StoredRow{deletedRow("config", 16)}, 16)
+		r.ApplyChanges("op", []server.StoredRow{deletedRow("config", 16)}, 16, time.Time{})
 		is.Equal(r.View().Router().Plan().Version, uint64(9))
 	})
 }
@@ -99,19 +99,19 @@
 func TestOlderRegistrationsAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r, is := newLoadedRegistrar(t)
-		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:2 200 1 ready", 12)}, 12)
-		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:1 100 9 ready", 13)}, 13)
+		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:2 200 1 ready", 12)}, 12, time.Time{})
+		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:1 100 9 ready", 13)}, 13, time.Time{})
 		is.Equal(r.View().Replicas("a")[0].Address, "1:2")
-		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:2 200 3 draining", 14)}, 14)
+		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:2 200 3 draining", 14)}, 14, time.Time{})
 		is.Equal(replicaIDs(r, "a"), "")
-		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:2 200 2 ready", 15)}, 15) // an older registration in a newer row
-		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:2 200 4 ready", 16)}, 16) // a draining incarnation stays draining
+		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:2 200 2 ready", 15)}, 15, time.Time{}) // an older registration in a newer row
+		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:2 200 4 ready", 16)}, 16, time.Time{}) // a draining incarnation stays draining
 		is.Equal(replicaIDs(r, "a"), "")
-		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:3 300 1 ready", 17)}, 17)
+		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "replica a 1:3 300 1 ready", 17)}, 17, time.Time{})
 		is.Equal(replicaIDs(r, "a"), "i-1")
-		r.ApplyChanges("servers", []server.StoredRow{row("i-2", "garbage", 18)}, 18)
+		r.ApplyChanges("servers", []server.StoredRow{row("i-2", "garbage", 18)}, 18, time.Time{})
 		is.Equal(replicaIDs(r, "a"), "i-1")
-		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "garbage", 19)}, 19) // an invalid row leaves the replica as it is
+		r.ApplyChanges("servers", []server.StoredRow{row("i-1", "garbage", 19)}, 19, time.Time{}) // an invalid row leaves the replica as it is
 		is.Equal(replicaIDs(r, "a"), "i-1")
 	})
 }
@@ -119,11 +119,11 @@
 func TestChangesApplyInAnyOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r, is := newLoadedRegistrar(t)
-		r.ApplyChanges("servers", []server.StoredRow{deletedRow("i-1", 20)}, 20)
+		r.ApplyChanges("servers", []server.StoredRow{deletedRow("i-1", 20)}, 20, time.Time{})
 		is.Equal(replicaIDs(r, "a"), "")
-		r.Replace("servers", []server.StoredRow{row("i-1", "replica a 1:1 100 1 ready", 11)}, 12) // an older table
+		r.Replace("servers", []server.StoredRow{row("i-1", "replica a 1:1 100 1 ready", 11)}, 12, time.Time{}) // an older table
 		is.Equal(replicaIDs(r, "a"), "")
-		r.Replace("servers", []server.StoredRow{row("i-2", "replica a 1:5 100 1 ready", 15)}, 21)
+		r.Replace("servers", []server.StoredRow{row("i-2", "replica a 1:5 100 1 ready", 15)}, 21, time.Time{})
 		is.Equal(replicaIDs(r, "a"), "i-2")
 		rows, version, ok := r.Rows("servers")
 		is.True(ok)
@@ -135,18 +135,17 @@
 func TestRemovalAfterStoreFailureIsDelayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r, is := newLoadedRegistrar(t)
-		r.ApplyChanges("servers", []server.StoredRow{row("i-2", "replica a 1:2 100 1 ready", 12)}, 12)
+		r.ApplyChanges("servers", []server.StoredRow{row("i-2", "replica a 1:2 100 1 ready", 12)}, 12, time.Time{})
 		time.Sleep(time.Minute)
-		r.RecordFailure(time.Now())
-		r.ApplyChanges("servers", []server.StoredRow{deletedRow("i-1", 13), deletedRow("i-2", 14)}, 14)
+		r.ApplyChanges("servers", []server.StoredRow{deletedRow("i-1", 13), deletedRow("i-2", 14)}, 14, time.Now())
 		is.Equal(replicaIDs(r, "a"), "i-1 i-2") // the rows may only have expired
 		time.Sleep(time.Second)
-		r.ApplyChanges("servers", []server.StoredRow{row("i-2", "replica a 1:2 100 2 ready", 15)}, 15)
+		r.ApplyChanges("servers", []server.StoredRow{row("i-2", "replica a 1:2 100 2 ready", 15)}, 15, time.Time{})
 		time.Sleep(time.Second)
 		synctest.Wait()
 		is.Equal(replicaIDs(r, "a"), "i-2")
 		time.Sleep(time.Minute)
-		r.ApplyChanges("servers", []server.StoredRow{deletedRow("i-2", 16)}, 16)
+		r.ApplyChanges("servers", []server.StoredRow{deletedRow("i-2", 16)}, 16, time.Time{})
 		is.Equal(replicaIDs(r, "a"), "") // removed at once, as the last failure is too long ago
 	})
 }
--- a/internal/server/registrar/table.go
+++ b/internal/server/registrar/table.go
@@ -16,6 +16,8 @@
 	version uint64
 	// isLoaded is set once the whole table was read.
 	isLoaded bool
+	// recoveredAt belongs to the newest changes; see Registrar.ApplyChanges.
+	recoveredAt time.Time
 }
 
 func newTable() *table {
