Withhold a request whose client has left or whose deadline has passed

Callers gave up at their deadline, and instances that were short of processor time sent their requests to replicas up to 2 s later.

Cause: a request is cancelled by a goroutine of the HTTP server that reads the client's close, and by a timer. Both are notifications: in a process with many runnable goroutines they run late, and the request was sent on without a look at the connection or the clock. A request that was read late was sent even if its client had closed the connection before.

Change: package peeker asks the kernel for the state of a connection without reading. The relayer does so when it has read a request, and together with the deadline right before the first byte is sent, in the goroutine that sends it. A withheld request counts as not sent and says nothing about the replica. The dialer's test of idle connections uses the same code.

--- a/internal/server/dialer/conn.go
+++ b/internal/server/dialer/conn.go
@@ -8,12 +8,12 @@
 	"net"
 	"net/http"
 	"net/textproto"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/peeker"
 )
 
 // Limits on responses to earlier requests.
@@ -49,25 +49,7 @@
 // isOpenWithoutInput reports whether the idle connection is open and the
 // replica has sent nothing on it.
 func (c *Conn) isOpenWithoutInput() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isOpen := false
-	err = control.Read(func(fd uintptr) bool {
-		var buffer [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isOpen = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && isOpen
+	return c.reader.Buffered() == 0 && peeker.Peek(c.Conn) == peeker.StateQuiet
 }
 
 // WriteRequest writes a complete request. It writes target unchanged, so that the upstream
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 
@@ -34,8 +35,14 @@
 	ID string
 	// AtMostOnce is set for requests that must run at most once.
 	AtMostOnce bool
+	// Check is called right before the request is sent, unless it is nil. If it returns an
+	// error, the request is withheld.
+	Check func() error
 }
 
+// ErrWithheld means that nothing was sent, since the check of the request failed.
+var ErrWithheld = merry.New("request withheld")
+
 // Answer is a response whose headers were read and whose body was not. Close must be
 // called exactly once.
 type Answer struct {
@@ -81,12 +88,22 @@
 	detach := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	sendResult := make(chan error, 1)
 	go func() {
+		if request.Check != nil {
+			if err := request.Check(); err != nil {
+				sendResult <- merry.Prepend(ErrWithheld, err.Error())
+				_ = conn.Close() // ends ReadResponse
+				return
+			}
+		}
 		sendResult <- conn.WriteRequest(request.Method, request.Target, request.Host, request.Header, request.Body)
 	}()
 	response, err := conn.ReadResponse(request.Method, request.ID, func(r *http.Response) string { return x.codec.ParseResponse(r.StatusCode, r.Header).ID })
 	if err != nil {
 		detach()
-		_ = conn.Close()
+		_ = conn.Close() // ends WriteRequest
+		if sendErr := <-sendResult; errors.Is(sendErr, ErrWithheld) {
+			return nil, server.SendStateUnsent, server.NewFault("exchange", replica.ID, sendErr)
+		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
--- a/internal/server/fronter/fronter.go
+++ b/internal/server/fronter/fronter.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/peeker"
 )
 
 const (
@@ -42,6 +43,17 @@
 	isClosed        bool
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// IsDisconnected reports whether the client of a request has closed its connection. ctx is
+// the context of the request, which the server cancels for the same reason; but that may be
+// late in a process that is short of processor time.
+func IsDisconnected(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && peeker.Peek(conn) == peeker.StateClosed
+}
+
 // connListener is the net.Listener of the HTTP server for one set of limits. Its Accept
 // returns the connections that the Fronter has accepted and sends to conns.
 type connListener struct {
@@ -77,6 +89,9 @@
 func (f *Fronter) startServer(limits server.Limits) {
 	listener := &connListener{conns: make(chan net.Conn), closed: make(chan struct{}), addr: f.socket.Addr()}
 	s := &http.Server{
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 		Handler: f.handler, MaxHeaderBytes: defaultMaxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		// The server would log each connection that a client breaks off.
 		ErrorLog: log.New(io.Discard, "", 0),
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/fronter"
 	"oriolemill.example/oriolemill/internal/server/registrar"
 	"oriolemill.example/oriolemill/internal/server/router"
 	"oriolemill.example/oriolemill/internal/server/stager"
@@ -121,7 +122,7 @@
 			f.results.Release()
 		}
 	}()
-	if !f.resolveRoute() || !f.readBody() || !f.admit() || !f.computeStages() {
+	if !f.resolveRoute() || !f.readBody() || !f.checkClient() || !f.admit() || !f.computeStages() {
 		return
 	}
 	for f.attempt() {
@@ -182,6 +183,15 @@
 	return true
 }
 
+// checkClient ends the request if its client has disconnected by now, as is likely if the
+// request was read late. It reports whether the request goes on.
+func (f *relayedRequest) checkClient() bool {
+	if fronter.IsDisconnected(f.r.Context()) {
+		return f.endDisconnected("client disconnected before the request was processed")
+	}
+	return true
+}
+
 // attempt sends the request to one replica and reports whether another attempt follows.
 func (f *relayedRequest) attempt() bool {
 	replica, ok := f.nextReplica()
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -15,6 +15,7 @@
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/chooser"
 	"oriolemill.example/oriolemill/internal/server/exchanger"
+	"oriolemill.example/oriolemill/internal/server/fronter"
 	"oriolemill.example/oriolemill/internal/server/router"
 )
 
@@ -54,7 +55,9 @@
 	f.attemptCtx, f.cancelStalled = ctx, func() { cancel(errStalled) }
 	f.startStallTimer(f.firstByteTimeout())
 	defer f.stopStallTimer()
-	response, sendState, err := f.Exchanger.Do(ctx, replica, f.upstreamRequest(replica))
+	request := f.upstreamRequest(replica)
+	request.Check = f.checkSend
+	response, sendState, err := f.Exchanger.Do(ctx, replica, request)
 	if sendState != server.SendStateUnsent {
 		f.attemptCount++
 		f.arrivalCount++
@@ -78,6 +81,19 @@
 	return outcome
 }
 
+// checkSend returns an error if the request must not be sent any more, since its client has
+// left. It is called right before the request is sent; the client may have left while the
+// connection was opened, and the timers and goroutines that cancel the request may be late.
+func (f *relayedRequest) checkSend() error {
+	switch {
+	case f.remaining() <= 0:
+		f.cancel(server.ErrDeadline)
+	case fronter.IsDisconnected(f.r.Context()):
+		f.cancel(context.Canceled)
+	}
+	return context.Cause(f.ctx)
+}
+
 // errStalled is the cause with which an attempt is cancelled when its response has stalled
 // and another replica may continue.
 var errStalled = merry.New("the replica fell silent")
@@ -142,6 +158,9 @@
 		attempt.End(chooser.OutcomeNeutral)
 		f.endDisconnected("client disconnected before the response")
 		return attemptDisconnected
+	case errors.Is(err, exchanger.ErrWithheld):
+		attempt.End(chooser.OutcomeNeutral)
+		return attemptUnsent
 	case cause != nil && sendState != server.SendStateUnsent:
 		attempt.End(chooser.OutcomeFailure)
 		f.reason = "no answer in time"
