Withhold requests and stage calls from a replica that left after it was chosen

Callers saw requests sent to replicas that had left.

Cause: a replica is chosen from the newest view, and then a connection is opened and a goroutine started to send the request; for a stage call its goroutine is started first.

Evidence: TestRequestIsNotSentToReplicaThatLeftAfterTheChoice failed on every run.

Change: right before the first byte the newest view is asked whether the replica serves. A withheld request goes to another replica; pieces of a withheld call are queued again, which takes no retry from the budget as nothing was sent.

--- a/internal/server/batcher/calls.go
+++ b/internal/server/batcher/calls.go
@@ -122,6 +122,15 @@
 // call's pieces. timedOut is set when this owner cancelled the call. The caller holds mu.
 func (o *Owner) handleCallError(s *ownedService, c *call, err error, timedOut bool, now time.Time) {
 	b := c.replica
+	if errors.Is(err, server.ErrWithheld) {
+		b.blockedUntil = now.Add(overloadBackoff)
+		for _, p := range c.pieces {
+			if !p.task.isFinished {
+				s.queue.enqueue(p) // no replica has received it, so this is not a retry
+			}
+		}
+		return
+	}
 	if errors.Is(err, server.ErrOverload) {
 		o.counts.OverloadedCalls++
 		b.blockedUntil = now.Add(overloadBackoff)
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -23,7 +23,7 @@
 	callTimeoutFactor = 2
 	callTimeoutMargin = 250 * time.Millisecond
 	// overloadBackoff is how long no call is sent to a replica that refused one because
-	// of overload.
+	// of overload, or from which a call was withheld.
 	overloadBackoff = 40 * time.Millisecond
 	// memoryBackoff is how long no call is sent to a replica that had no memory for any
 	// result of a call.
@@ -41,8 +41,9 @@
 // Caller makes calls to replicas. It must be safe for concurrent use.
 type Caller interface {
 	// ComputePieces has a replica compute pieces and returns their results in order. Errors:
-	// ErrOverload when the replica refused the call and did nothing; after
-	// ErrUnavailable and others the pieces may or may not have been computed.
+	// ErrOverload when the replica refused the call and did nothing, ErrWithheld when the
+	// call was not sent since the replica gets no new work; after ErrUnavailable and others
+	// the pieces may or may not have been computed.
 	ComputePieces(ctx context.Context, replica *server.Replica, pieces []server.Piece) ([]server.PieceResult, error)
 	// ReleaseResults releases results at the replica that holds them.
 	ReleaseResults(ctx context.Context, replica *server.Replica, handles []string) error
--- a/internal/server/batcher/owner_test.go
+++ b/internal/server/batcher/owner_test.go
@@ -315,3 +315,27 @@
 		is.True(time.Until(job.HardDeadline) > -2*localityWait)
 	})
 }
+
+// TestWithheldCallIsMadeAtAnotherReplica guards against requests that fail since the replica
+// of a stage call left before the call was sent: that takes no retry from the budget.
+func TestWithheldCallIsMadeAtAnotherReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		withheldFrom := ""
+		r := &fakeReplicas{respond: func(call int, replica string, _ []server.Piece) ([]server.PieceResult, error) {
+			if call == 1 {
+				withheldFrom = replica
+				return nil, server.ErrWithheld
+			}
+			return nil, nil
+		}}
+		o := newTestOwner(t, r, false, 2)
+		result := submitAndWait(o, testJob("a", 4))
+		is.Equal(result.Failure, server.PieceFailure(""))
+		is.True(withheldFrom != "")
+		for _, handle := range result.Handles {
+			is.True(!strings.HasPrefix(handle, strings.Replace(withheldFrom, "i-", "r", 1)+"/"))
+		}
+		is.Equal(o.Counts().Failures, uint64(0))
+	})
+}
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -21,10 +21,27 @@
 type Exchanger struct {
 	dialer *dialer.Dialer
 	codec  server.Codec
+	// isServing reports whether a replica may get new work.
+	isServing func(*server.Replica) bool
+}
+
+// Option sets a property of an Exchanger.
+type Option func(*Exchanger)
+
+// WithServing sets a function that reports whether a replica may get new work by the newest
+// view. Calls that compute pieces are withheld from other replicas.
+func WithServing(isServing func(*server.Replica) bool) Option {
+	return func(x *Exchanger) { x.isServing = isServing }
 }
 
 // New returns an Exchanger.
-func New(d *dialer.Dialer, codec server.Codec) *Exchanger { return &Exchanger{dialer: d, codec: codec} }
+func New(d *dialer.Dialer, codec server.Codec, options ...Option) *Exchanger {
+	x := &Exchanger{dialer: d, codec: codec, isServing: func(*server.Replica) bool { return true }}
+	for _, option := range options {
+		option(x)
+	}
+	return x
+}
 
 // Request is a request to a replica.
 type Request struct {
@@ -36,13 +53,10 @@
 	// AtMostOnce is set for requests that must run at most once.
 	AtMostOnce bool
 	// Check is called right before the request is sent, unless it is nil. If it returns an
-	// error, the request is withheld.
+	// error, the request is withheld and Do returns server.ErrWithheld.
 	Check func() error
 }
 
-// ErrWithheld means that nothing was sent, since the check of the request failed.
-var ErrWithheld = merry.New("request withheld")
-
 // Answer is a response whose headers were read and whose body was not. Close must be
 // called exactly once.
 type Answer struct {
@@ -90,7 +104,7 @@
 	go func() {
 		if request.Check != nil {
 			if err := request.Check(); err != nil {
-				sendResult <- merry.Prepend(ErrWithheld, err.Error())
+				sendResult <- merry.Prepend(server.ErrWithheld, err.Error())
 				_ = conn.Close() // ends ReadResponse
 				return
 			}
@@ -101,7 +115,7 @@
 	if err != nil {
 		detach()
 		_ = conn.Close() // ends WriteRequest
-		if sendErr := <-sendResult; errors.Is(sendErr, ErrWithheld) {
+		if sendErr := <-sendResult; errors.Is(sendErr, server.ErrWithheld) {
 			return nil, server.SendStateUnsent, server.NewFault("exchange", replica.ID, sendErr)
 		}
 		if cause := context.Cause(ctx); cause != nil {
@@ -120,7 +134,12 @@
 	if err != nil {
 		return nil, err
 	}
-	responseBody, err := x.call(ctx, replica, path, body)
+	responseBody, err := x.call(ctx, replica, path, body, func() error {
+		if !x.isServing(replica) {
+			return server.ErrLeaving
+		}
+		return nil
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -133,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = x.call(ctx, replica, path, body)
+	_, err = x.call(ctx, replica, path, body, nil)
 	return err
 }
 
@@ -141,11 +160,11 @@
 // holds a result.
 func (x *Exchanger) ResultAddress(handle string) string { return x.codec.ResultAddress(handle) }
 
-// call sends a POST request and returns the body of the response, up to
-// maxStageResponseBytes. It returns ErrOverload if the replica refused the call,
+// call sends a POST request, after check if that is not nil, and returns the body of the
+// response, up to maxStageResponseBytes. It returns ErrOverload if the replica refused the call,
 // ErrUnavailable for other failures of the response, and errors of Do as they are.
-func (x *Exchanger) call(ctx context.Context, replica *server.Replica, path string, body []byte) ([]byte, error) {
-	request := &Request{Method: http.MethodPost, Target: path, Host: replica.Address, Header: x.codec.CallHeader(replica.ID), Body: body}
+func (x *Exchanger) call(ctx context.Context, replica *server.Replica, path string, body []byte, check func() error) ([]byte, error) {
+	request := &Request{Method: http.MethodPost, Target: path, Host: replica.Address, Header: x.codec.CallHeader(replica.ID), Body: body, Check: check}
 	answer, _, err := x.Do(ctx, replica, request)
 	if err != nil {
 		return nil, err
--- a/internal/server/fault.go
+++ b/internal/server/fault.go
@@ -32,6 +32,9 @@
 	// ErrAttemptAbandoned means that an attempt was abandoned, because it took too long or
 	// another attempt finished first.
 	ErrAttemptAbandoned = merry.New("attempt abandoned")
+	// ErrWithheld means that nothing was sent: a check right before it showed that the work is
+	// of no use any more.
+	ErrWithheld = merry.New("request withheld")
 	// ErrLeaving means that the peer is shutting down.
 	ErrLeaving = merry.New("leaving")
 	// ErrNoUpstream means that no replica of the service is eligible.
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -56,7 +56,7 @@
 	f.startStallTimer(f.firstByteTimeout())
 	defer f.stopStallTimer()
 	request := f.upstreamRequest(replica)
-	request.Check = f.checkSend
+	request.Check = func() error { return f.checkSend(replica) }
 	response, sendState, err := f.Exchanger.Do(ctx, replica, request)
 	if sendState != server.SendStateUnsent {
 		f.attemptCount++
@@ -81,15 +81,18 @@
 	return outcome
 }
 
-// checkSend returns an error if the request must not be sent any more, since its client has
-// left. It is called right before the request is sent; the client may have left while the
-// connection was opened, and the timers and goroutines that cancel the request may be late.
-func (f *relayedRequest) checkSend() error {
+// checkSend returns an error if the request must not be sent to the replica: its client has
+// left, or the replica has left since it was chosen. It is called right before the request is
+// sent; all of this may have happened while the connection was opened, and the timers and
+// goroutines that cancel the request may be late.
+func (f *relayedRequest) checkSend(replica *server.Replica) error {
 	switch {
 	case f.remaining() <= 0:
 		f.cancel(server.ErrDeadline)
 	case fronter.IsDisconnected(f.r.Context()):
 		f.cancel(context.Canceled)
+	case !f.View().IsServing(replica):
+		return server.ErrLeaving
 	}
 	return context.Cause(f.ctx)
 }
@@ -158,7 +161,7 @@
 		attempt.End(chooser.OutcomeNeutral)
 		f.endDisconnected("client disconnected before the response")
 		return attemptDisconnected
-	case errors.Is(err, exchanger.ErrWithheld):
+	case errors.Is(err, server.ErrWithheld):
 		attempt.End(chooser.OutcomeNeutral)
 		return attemptUnsent
 	case cause != nil && sendState != server.SendStateUnsent:
