Withhold calls to an upstream that left after it was picked, on the JSON path too

Callers of the JSON interface could have their work sent to an upstream that had left, or sent after their deadline.

Orders had such a check of their deadline, on a connection of their own; pools, engines, plain calls and hedges had none.

Evidence: TestCallIsNotSentToUpstreamThatLeftAfterThePick, TestOrderIsNotSentTo- ReplicaThatLeftAfterThePick and TestFailedSendCheckStopsCallOnPooledConnection fail without the checks.

Change: the check before the first byte applies to pooled connections as well, by the connection that the HTTP client states for each call.

--- a/internal/server/caller/caller.go
+++ b/internal/server/caller/caller.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -59,7 +58,7 @@
 // New returns a Caller.
 func New(options ...Option) *Caller {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dialChecked,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/server/caller/engine.go
+++ b/internal/server/caller/engine.go
@@ -22,9 +22,10 @@
 	if err := json.Unmarshal(call.Input, &prompt); err != nil {
 		return server.Answer{}, server.NewFault(call.Stage, "", merry.Prepend(server.ErrInvalid, err.Error()))
 	}
-	response, err := c.post(ctx, upstream, messenger.PathGenerate, call.Traceparent, c.generateRequest(call, prompt))
+	check := &sendCheck{check: call.BeforeSend}
+	response, err := c.post(withSendCheck(ctx, check), upstream, messenger.PathGenerate, call.Traceparent, c.generateRequest(call, prompt))
 	if err != nil {
-		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), transportError(ctx, err))
+		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), check.sendError(ctx, err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response); err != nil {
--- a/internal/server/caller/pool.go
+++ b/internal/server/caller/pool.go
@@ -15,9 +15,10 @@
 
 // Run implements server.Pool.
 func (c *Caller) Run(ctx context.Context, upstream *server.Upstream, call server.Call) (server.Answer, error) {
-	response, err := c.post(ctx, upstream, messenger.PathRun, call.Traceparent, c.runRequest(upstream, call))
+	check := &sendCheck{check: call.BeforeSend}
+	response, err := c.post(withSendCheck(ctx, check), upstream, messenger.PathRun, call.Traceparent, c.runRequest(upstream, call))
 	if err != nil {
-		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), transportError(ctx, err))
+		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), check.sendError(ctx, err))
 	}
 	defer discardBody(response.Body)
 	answer, err := readAnswer(response, call)
--- a/internal/server/caller/send_check.go
+++ b/internal/server/caller/send_check.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"net"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"oriolemill.example/oriolemill/internal/server"
 )
 
-// sendCheckKey is the context key under which a call passes its sendCheck to the
-// dialer.
-type sendCheckKey struct{}
-
 // sendCheck runs the pre-send check of a call before the first byte is written to
 // the call's own connection. If nothing was written, the call was provably not
 // sent. It is safe for concurrent use.
@@ -66,30 +64,48 @@
 	return server.SendStateUnsent
 }
 
-// checkedConn is a connection whose writes are subject to a sendCheck.
+// sendError returns the error of a call that got no response: why it was not sent, or what
+// the client reported.
+func (s *sendCheck) sendError(ctx context.Context, err error) error {
+	if refusal := s.refusal(); refusal != nil {
+		return refusal
+	}
+	return transportError(ctx, err)
+}
+
+// withSendCheck returns a context for one call of an HTTP client whose connections
+// dialChecked opens. The call's first byte is subject to check, on a new connection as on
+// one that earlier calls have used.
+func withSendCheck(ctx context.Context, check *sendCheck) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*checkedConn); ok {
+			conn.check.Store(check)
+		}
+	}})
+}
+
+// checkedConn is a connection whose writes are subject to the sendCheck of the call that
+// uses it now; nil means none.
 type checkedConn struct {
 	net.Conn
-	check *sendCheck
+	check atomic.Pointer[sendCheck]
 }
 
 // Write implements net.Conn.
 func (c *checkedConn) Write(b []byte) (int, error) {
-	if err := c.check.allowWrite(); err != nil {
-		return 0, err
+	if check := c.check.Load(); check != nil {
+		if err := check.allowWrite(); err != nil {
+			return 0, err
+		}
 	}
 	return c.Conn.Write(b)
 }
 
-// dialChecked dials a connection for a single call, subject to the sendCheck in ctx
-// if there is one.
+// dialChecked dials a connection; see withSendCheck.
 func dialChecked(ctx context.Context, network, address string) (net.Conn, error) {
 	connection, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	check, ok := ctx.Value(sendCheckKey{}).(*sendCheck)
-	if !ok {
-		return connection, nil
-	}
-	return &checkedConn{Conn: connection, check: check}, nil
+	return &checkedConn{Conn: connection}, nil
 }
--- a/internal/server/caller/send_check_test.go
+++ b/internal/server/caller/send_check_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -83,3 +86,42 @@
 	is.True(err != nil)
 	is.Equal(sendState, server.SendStateUnsent)
 }
+
+// TestFailedSendCheckStopsCallOnPooledConnection guards against calls of a pool, an engine
+// or a plain service that are sent although their upstream or client has left: a connection
+// that an earlier call has used must be subject to the check of the next one.
+func TestFailedSendCheckStopsCallOnPooledConnection(t *testing.T) {
+	var received atomic.Int64
+	replica := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer replica.Close()
+	upstream := upstreamAt(strings.TrimPrefix(replica.URL, "http://"))
+	c := caller.New()
+	defer c.Close()
+	for name, send := range map[string]func(call server.Call) error{
+		"pool": func(call server.Call) error {
+			_, err := c.Run(t.Context(), upstream, call)
+			return err
+		},
+		"engine": func(call server.Call) error {
+			_, err := c.Generate(t.Context(), upstream, call, func(server.Token) error { return nil })
+			return err
+		},
+		"plain": func(call server.Call) error {
+			_, _, err := c.Operate(t.Context(), upstream, call)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			before := received.Load()
+			for range 3 {
+				call := newCall("x")
+				call.BeforeSend = func() error { return nil }
+				is.True(send(call) != nil) // the empty response is invalid
+				call.BeforeSend = func() error { return server.ErrLeaving }
+				is.True(errors.Is(send(call), server.ErrLeaving))
+			}
+			is.Equal(received.Load()-before, int64(3))
+		})
+	}
+}
--- a/internal/server/caller/service.go
+++ b/internal/server/caller/service.go
@@ -17,7 +17,7 @@
 func (c *Caller) Operate(ctx context.Context, upstream *server.Upstream, call server.Call) (server.Answer, server.SendState, error) {
 	path := messenger.PathOperations + url.PathEscape(call.Stage)
 	check := &sendCheck{check: call.BeforeSend}
-	ctx = context.WithValue(ctx, sendCheckKey{}, check)
+	ctx = withSendCheck(ctx, check)
 	client := c.singleUse
 	if call.IdempotencyKey == "" {
 		client = c.client
@@ -25,7 +25,7 @@
 	response, err := c.postWith(ctx, client, upstream, path, call.Traceparent, c.runRequest(upstream, call))
 	if err != nil {
 		if call.IdempotencyKey == "" {
-			return server.Answer{}, server.SendStateUnknown, server.NewFault(call.Stage, upstream.ID(), transportError(ctx, err))
+			return server.Answer{}, server.SendStateUnknown, server.NewFault(call.Stage, upstream.ID(), check.sendError(ctx, err))
 		}
 		if refusal := check.refusal(); refusal != nil {
 			return server.Answer{}, server.SendStateUnsent, server.NewFault(call.Stage, upstream.ID(), refusal)
--- a/internal/server/orderer/execution.go
+++ b/internal/server/orderer/execution.go
@@ -236,7 +236,13 @@
 	call := server.Call{
 		AttemptID: server.NewID(), Workspace: e.request.Workspace, Stage: e.order.claim.Operation, IdempotencyKey: e.request.IdempotencyKey,
 		Fence: e.order.claim.Fence, Priority: e.request.Priority, Deadline: e.request.Deadline, Input: e.request.Input,
-		Traceparent: e.request.Traceparent, BeforeSend: e.beforeSend,
+		Traceparent: e.request.Traceparent,
+		BeforeSend: func() error {
+			if !e.orderer.dependencies.Snapshot().IsServing(upstream) {
+				return server.ErrLeaving
+			}
+			return e.beforeSend()
+		},
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, e.responseDeadline(), server.ErrDeadline)
 	defer cancel()
--- a/internal/server/orderer/orderer_test.go
+++ b/internal/server/orderer/orderer_test.go
@@ -265,3 +265,18 @@
 		is.Equal(outcome, server.OutcomeDone) // the claim was voided, so a repeated request runs
 	})
 }
+
+// TestOrderIsNotSentToReplicaThatLeftAfterThePick guards against orders for leaving replicas:
+// the pick of a replica was carried out although it had left since.
+func TestOrderIsNotSentToReplicaThatLeftAfterThePick(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newCluster(t, true, true, 1)
+		defer s.close()
+		s.snapshot = server.NewSnapshot(time.Now(), s.snapshot, server.WithUpstreams(nil)) // the picker of the test still picks the replica
+		outcome, _ := s.call(s.instances[0], "one", "k", "1")
+		is.Equal(outcome, server.OutcomeNotRun)
+		time.Sleep(time.Minute)
+		is.Equal(s.service.runCount("one", "k"), 0)
+	})
+}
--- a/internal/server/runner/attempt.go
+++ b/internal/server/runner/attempt.go
@@ -45,11 +45,28 @@
 	// The snapshot may be outdated; an engine rejects a model that it does not have.
 	a.call.Model, _ = upstream.ServingModel(pickRequest.Model)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.call.BeforeSend = func() error { return c.runner.checkSend(a.ctx, upstream, call.Deadline) }
 	c.costs[stage.Name()] = c.costs[stage.Name()].Add(server.Cost{Calls: 1})
 	upstream.Gauge().Begin()
 	return a, nil
 }
 
+// checkSend returns an error if an attempt must not be sent any more: it was cancelled, its
+// deadline has passed, or the upstream has left since it was picked. It is called right
+// before the first byte is sent; the timer of the deadline may be late.
+func (r *Runner) checkSend(ctx context.Context, upstream *server.Upstream, deadline time.Time) error {
+	switch {
+	case ctx.Err() != nil:
+		return context.Cause(ctx)
+	case !deadline.IsZero() && !r.dependencies.Timer.Now().Before(deadline):
+		return server.ErrDeadline
+	case !r.snapshot().IsServing(upstream):
+		return server.ErrLeaving
+	default:
+		return nil
+	}
+}
+
 // endAttempt adds the cost of an attempt and reports the attempt to the observer.
 // An attempt that failed because the request's context ended is not reported,
 // since its failure says nothing about the upstream.
--- a/internal/server/runner/call.go
+++ b/internal/server/runner/call.go
@@ -42,6 +42,7 @@
 	}
 	pickRequest.AttemptedUpstreams = append(pickRequest.AttemptedUpstreams, upstream.ID())
 	call.AttemptID = server.NewID()
+	call.BeforeSend = func() error { return c.runner.checkSend(ctx, upstream, call.Deadline) }
 	c.upstreamPicked = true
 	upstream.Gauge().Begin()
 	begin := parts.Timer.Now()
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -152,6 +152,13 @@
 // Upstream returns a replica by ID, or nil.
 func (s *Snapshot) Upstream(id string) *Upstream { return s.upstreamsByID[id] }
 
+// IsServing reports whether an upstream, picked by an earlier snapshot, may still get new
+// work.
+func (s *Snapshot) IsServing(upstream *Upstream) bool {
+	current := s.upstreamsByID[upstream.ID()]
+	return current != nil && current.Address() == upstream.Address() && !current.IsLeaving()
+}
+
 // Services iterates over all services with their replicas.
 func (s *Snapshot) Services() iter.Seq2[string, []*Upstream] { return maps.All(s.upstreamsByService) }
 
