Remove an unlisted upstream after 3 s though it still responds

Callers of the JSON interface could have their work sent to an upstream that had left, for as long as it went on serving.

Cause: an upstream that the platform's list no longer has was kept while its load reports were recent. One that leaves without stating so, and serves its last requests, responds to polls and so kept itself in use without a bound.

Change: it is kept for 3 s from the first reading of the list that lacked it, and no longer than 3 s after its last load report, as before.

--- a/internal/server/watcher/watcher.go
+++ b/internal/server/watcher/watcher.go
@@ -90,6 +90,9 @@
 // upstreamState is what is known of one upstream.
 type upstreamState struct {
 	listing server.Listing
+	// unlistedSince is when a reading of the list first lacked the upstream; zero while it
+	// is listed.
+	unlistedSince time.Time
 	// isLeaving is set if the last load report said that the upstream is leaving.
 	isLeaving bool
 	gauge     *server.Gauge
@@ -146,8 +149,8 @@
 }
 
 // applyList applies a reading of the platform's list. An upstream that is missing from
-// it is kept while it still responds to polls of its load; a failed reading changes
-// nothing.
+// it is kept for unlistedTTL while it still responds to polls of its load; a failed reading
+// changes nothing.
 func (w *Watcher) applyList(listings []server.Listing, err error) {
 	w.isReadingList = false
 	if err != nil {
@@ -164,7 +167,13 @@
 	w.assigner.ApplyListings(listings)
 	now := w.control.Timer().Now()
 	for id, state := range w.upstreams {
-		if !listed[id] && now.Sub(state.load.ReportedAt) > unlistedTTL {
+		if listed[id] {
+			continue
+		}
+		if state.unlistedSince.IsZero() {
+			state.unlistedSince = now
+		}
+		if now.Sub(state.unlistedSince) > unlistedTTL || now.Sub(state.load.ReportedAt) > unlistedTTL {
 			delete(w.upstreams, id)
 			w.outliers.Remove(id)
 		}
@@ -172,7 +181,8 @@
 	w.schedulePublish()
 }
 
-// unlistedTTL is how long an unlisted upstream is kept without a load report.
+// unlistedTTL is how long an unlisted upstream is kept, from the first reading that lacked it
+// or from its last load report.
 const unlistedTTL = 3 * time.Second
 
 // applyListing adds or updates an upstream. A new address means a new replica, whose
@@ -183,7 +193,7 @@
 		state = &upstreamState{gauge: &server.Gauge{}}
 		w.upstreams[listing.ID] = state
 	}
-	state.listing = listing
+	state.listing, state.unlistedSince = listing, time.Time{}
 }
 
 // readLoads starts a worker that polls the load of the upstreams assigned to this
