Drop cancelled and late pieces from a stage call that was not sent yet

Clients had left, or their deadline had passed, and replicas computed pieces for them.

Cause: the pieces of a call are selected under the owner's lock and sent by a goroutine that, in a process short of processor time, starts later. It sent what was selected, and stated the time left at the selection.

Evidence: TestCancelledJobIsNotSent fails without the check.

Change: the goroutine looks at the jobs again before it makes the call, drops the pieces of those that are cancelled or past their deadline, and states the time that is left then.

--- a/internal/server/batcher/calls.go
+++ b/internal/server/batcher/calls.go
@@ -12,12 +12,9 @@
 // runCall makes one call to a replica and handles its results or its error. A call
 // that takes much longer than expected is cancelled.
 func (o *Owner) runCall(s *ownedService, c *call, startedAt time.Time) {
-	pieces := make([]server.Piece, len(c.pieces))
-	for n, p := range c.pieces {
-		t := p.task
-		pieces[n] = server.Piece{
-			RequestID: t.RequestID, Stage: t.Stage, Piece: t.Pieces[p.index], TimeLeft: t.HardDeadline.Sub(startedAt), Key: t.Key, Inputs: t.Inputs,
-		}
+	pieces := o.wantedPieces(s, c)
+	if len(pieces) == 0 {
+		return
 	}
 	ctx, cancel := context.WithCancel(o.ctx)
 	stop := o.timer.After(callTimeoutFactor*c.expectedDuration+callTimeoutMargin, func(time.Time) { cancel() })
@@ -46,6 +43,34 @@
 	o.dispatch(s)
 }
 
+// wantedPieces returns the pieces of a call as its replica receives them. It drops those
+// whose job was cancelled, or whose deadline has passed, since they were selected. If none
+// is left, the call ends here.
+func (o *Owner) wantedPieces(s *ownedService, c *call) []server.Piece {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.timer.Now()
+	for _, p := range c.pieces {
+		if !now.Before(p.task.HardDeadline) {
+			o.finishTask(s, p.task, server.PieceFailureDeadline)
+		}
+	}
+	s.queue.dropFinished(c)
+	if len(c.pieces) == 0 {
+		s.queue.finishCall(c)
+		o.dispatch(s)
+		return nil
+	}
+	pieces := make([]server.Piece, len(c.pieces))
+	for n, p := range c.pieces {
+		t := p.task
+		pieces[n] = server.Piece{
+			RequestID: t.RequestID, Stage: t.Stage, Piece: t.Pieces[p.index], TimeLeft: t.HardDeadline.Sub(now), Key: t.Key, Inputs: t.Inputs,
+		}
+	}
+	return pieces
+}
+
 // handleResults assigns the results of a call to their tasks, retries the pieces that
 // failed and ends the tasks that cannot be completed. The caller holds mu.
 func (o *Owner) handleResults(s *ownedService, c *call, results []server.PieceResult, now time.Time) {
--- a/internal/server/batcher/owner_test.go
+++ b/internal/server/batcher/owner_test.go
@@ -339,3 +339,31 @@
 		is.Equal(o.Counts().Failures, uint64(0))
 	})
 }
+
+// TestCancelledJobIsNotSent guards against work for clients that have left: a job was sent
+// although it was cancelled between the selection of its pieces and the call.
+func TestCancelledJobIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := &fakeReplicas{}
+		o := newTestOwner(t, r, true, 1)
+		done := make(chan Result, 1)
+		o.mu.Lock() // the goroutine of the call starts only after the cancellation
+		s := o.getOrCreateService("s")
+		job := testJob("a", 4)
+		task := &task{Job: job, handles: make([]string, 4), remaining: 4, onFinish: func(r Result) { done <- r }, enqueuedAt: time.Now()}
+		s.queue.addTask(task)
+		o.dispatch(s)
+		o.finishTask(s, task, server.PieceFailureDeadline)
+		o.mu.Unlock()
+		is.Equal((<-done).Failure, server.PieceFailureDeadline)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		r.mu.Lock()
+		is.Equal(r.calls, 0)
+		r.mu.Unlock()
+		is.True(o.IsIdle())
+		is.Equal(s.queue.replicas["i-0"].usedMemory, int64(0))
+		is.Equal(submitAndWait(o, testJob("b", 4)).Failure, server.PieceFailure(""))
+	})
+}
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -88,24 +88,6 @@
 	q.length++
 }
 
-// call is a call to a replica that is about to be made or in progress.
-type call struct {
-	replica          *trackedReplica
-	pieces           []*queuedPiece
-	expectedDuration time.Duration
-}
-
-// oldestEnqueuedAt returns when the oldest task of the call was queued.
-func (c *call) oldestEnqueuedAt() time.Time {
-	first := c.pieces[0].task.enqueuedAt
-	for _, p := range c.pieces {
-		if p.task.enqueuedAt.Before(first) {
-			first = p.task.enqueuedAt
-		}
-	}
-	return first
-}
-
 // nextCall returns the next call to make now, or nil, and the tasks that were shed; see
 // pruneTasks.
 func (q *queue) nextCall(now time.Time) (*call, []*task) {
@@ -358,41 +340,3 @@
 	}
 	return wait < lateLocalityWait
 }
-
-// startCall removes pieces from the queue, reserves the memory of their results and
-// returns their call.
-func (q *queue) startCall(b *trackedReplica, pieces []*queuedPiece, now time.Time) *call {
-	nextCallEnd := now.Add(q.nextCallDuration())
-	inCall := make(map[*queuedPiece]bool, len(pieces))
-	for _, p := range pieces {
-		inCall[p] = true
-		b.usedMemory += p.task.ResultBytes
-		if p.task.Datacentre == "" {
-			// The next stage fetches all results of a request together, so the rest of
-			// the task should be computed in the same data centre.
-			p.task.Datacentre = b.Datacentre
-		}
-		if !nextCallEnd.After(p.task.SoftDeadline) {
-			q.usageOfRank(p.task.Rank).addComputed(now)
-		}
-	}
-	q.tasks = slices.DeleteFunc(q.tasks, func(t *task) bool {
-		t.queued = slices.DeleteFunc(t.queued, func(p *queuedPiece) bool { return inCall[p] })
-		return len(t.queued) == 0
-	})
-	q.length -= len(pieces)
-	duration := b.expectedDuration(&q.batch, len(pieces))
-	b.activeCalls++
-	b.freeAt = now.Add(duration)
-	b.needsProbe = false
-	return &call{replica: b, pieces: pieces, expectedDuration: duration}
-}
-
-// finishCall frees the slot of a call and the memory reserved for its results. Results
-// that were computed are counted again when they are stored.
-func (q *queue) finishCall(c *call) {
-	c.replica.activeCalls--
-	for _, p := range c.pieces {
-		c.replica.usedMemory -= p.task.ResultBytes
-	}
-}
