Name the instances behind though the timeout ends a request for the versions

Operators saw "not seen in force ... : context deadline exceeded" instead of the instances that are behind.

Cause: the wait asks for the versions again and again. If its timeout ended during such a request, the request's error replaced what the last answer had shown.

Change: a request that the timeout ended does not count if an earlier one succeeded.

--- a/internal/commander/apply.go
+++ b/internal/commander/apply.go
@@ -121,7 +121,8 @@
 
 // waitInForce waits until all live instances have a version in force. After the timeout it
 // returns an error that names the instances that do not have it in force, or the error of
-// the last request for the versions if that request failed.
+// the last request for the versions if that request failed. A request that the timeout ended
+// does not count if an earlier one succeeded.
 func waitInForce(command *cobra.Command, operatorClient *client.Client, version uint64, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(command.Context(), timeout)
 	defer cancel()
@@ -135,7 +136,7 @@
 			behind = instancesBehind(versions, version)
 		case errors.As(err, &problem) && problem.Status == http.StatusForbidden:
 			return merry.Prependf(err, "version %d is accepted, but this token may not read which instances have it in force", version)
-		default:
+		case ctx.Err() == nil || behind == nil:
 			behind = []string{err.Error()}
 		}
 		if len(behind) == 0 {
--- a/internal/commander/wait_test.go
+++ b/internal/commander/wait_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -65,6 +66,29 @@
 	is.True(strings.Contains(out, "in force on all 2 live instances"))
 }
 
+// TestTimeoutDuringARequestNamesTheInstancesBehind guards against an error that says nothing
+// of the instances: the timeout ends a request for the versions, after one that succeeded.
+func TestTimeoutDuringARequestNamesTheInstancesBehind(t *testing.T) {
+	is := is.New(t)
+	first := true
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/versions", func(w http.ResponseWriter, r *http.Request) {
+		if !first {
+			<-r.Context().Done()
+			return
+		}
+		first = false
+		_ = json.NewEncoder(w).Encode(client.VersionStatus{Instance: "i-0", Version: 5, Members: []client.Member{{ID: "i-2", Presence: "live", IsReachable: true, Version: 4}}})
+	})
+	instance := httptest.NewServer(mux)
+	defer instance.Close()
+	command := newAudit()
+	command.SetContext(t.Context())
+	err := waitInForce(command, client.New(instance.URL), 5, 300*time.Millisecond)
+	is.True(err != nil)
+	is.True(strings.HasSuffix(err.Error(), "within 300ms: i-2 (has 4)"))
+}
+
 // outputWatcher collects a command's output and calls cancel once the output contains
 // the awaited text.
 type outputWatcher struct {
