Replace a kept connection that was closed before the request is written

Callers of requests that must run only once could get a 502, which leaves open whether the request ran, although nothing had been sent.

Cause: whether a kept connection is open is asked when it is acquired. The request is written by a goroutine that starts later in a process short of processor time, and it wrote to a connection that the replica had closed by then.

Change: the goroutine asks again right before the first byte, and the request is sent on another connection if the reused one is closed.

--- a/internal/server/dialer/conn.go
+++ b/internal/server/dialer/conn.go
@@ -46,6 +46,10 @@
 // IsReused reports whether the connection has carried a request before.
 func (c *Conn) IsReused() bool { return c.isReused }
 
+// IsClosed reports whether the connection is closed on either side. It may be called while
+// another goroutine reads a response.
+func (c *Conn) IsClosed() bool { return peeker.Peek(c.Conn) == peeker.StateClosed }
+
 // isOpenWithoutInput reports whether the idle connection is open and the
 // replica has sent nothing on it.
 func (c *Conn) isOpenWithoutInput() bool {
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -95,6 +95,21 @@
 // an error, sendState says whether the replica may have received the request. The
 // connection is closed when ctx ends.
 func (x *Exchanger) Do(ctx context.Context, replica *server.Replica, request *Request) (answer *Answer, sendState server.SendState, err error) {
+	for {
+		answer, sendState, err = x.exchange(ctx, replica, request)
+		// Ends with a new connection, which is never stale.
+		if !errors.Is(err, errStale) {
+			return answer, sendState, err
+		}
+	}
+}
+
+// errStale means that a reused connection was closed before the request was written on it.
+var errStale = merry.New("reused connection was closed before the request was sent")
+
+// exchange sends a request on one connection; see Do. It returns errStale if nothing was
+// sent since the connection cannot be reused.
+func (x *Exchanger) exchange(ctx context.Context, replica *server.Replica, request *Request) (answer *Answer, sendState server.SendState, err error) {
 	conn, err := x.dialer.Acquire(ctx, replica, request.AtMostOnce)
 	if err != nil {
 		return nil, server.SendStateUnsent, err
@@ -109,13 +124,17 @@
 				return
 			}
 		}
+		if conn.IsReused() && conn.IsClosed() {
+			sendResult <- errStale
+			return
+		}
 		sendResult <- conn.WriteRequest(request.Method, request.Target, request.Host, request.Header, request.Body)
 	}()
 	response, err := conn.ReadResponse(request.Method, request.ID, func(r *http.Response) string { return x.codec.ParseResponse(r.StatusCode, r.Header).ID })
 	if err != nil {
 		detach()
 		_ = conn.Close() // ends WriteRequest
-		if sendErr := <-sendResult; errors.Is(sendErr, server.ErrWithheld) {
+		if sendErr := <-sendResult; errors.Is(sendErr, server.ErrWithheld) || errors.Is(sendErr, errStale) {
 			return nil, server.SendStateUnsent, server.NewFault("exchange", replica.ID, sendErr)
 		}
 		if cause := context.Cause(ctx); cause != nil {
