Wait for broadcasts in progress when a test's fleet stops

Cause: each broadcast of the test's fleet is a goroutine that sleeps for the time of the transfer. The test ended while some of them slept, as the trace shows; stop waited for the gossipers, which hand broadcasts over, and not for these.

The checks of the tests are as they were.

Change: stop lets a minute of virtual time pass at the end.

--- a/internal/server/gossiper/gossiper_test.go
+++ b/internal/server/gossiper/gossiper_test.go
@@ -98,6 +98,8 @@
 		m.gossiper.Stop()
 	}
 	f.timer.Close()
+	// Let the broadcasts in progress end, since they are goroutines of their own.
+	time.Sleep(time.Minute)
 }
 
 // transfer queues a number of bytes on a member's link and returns how long it takes
