State the framing of responses in log lines and metrics

The lines "attempt failed" and "request" get the response's framing and the bytes of an event that did not end; oriolemill_relay_attempts_total gets the label framing. No decision depends on them.

--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -71,6 +71,32 @@
 	detach func() bool
 }
 
+// Framing is how a response states where its body ends. Its values are those in log lines
+// and metrics.
+type Framing string
+
+const (
+	// FramingLength: the headers state the length of the body.
+	FramingLength Framing = "length"
+	// FramingChunked: the body is sent in chunks, of which the last one is marked.
+	FramingChunked Framing = "chunked"
+	// FramingNone: the body ends with the connection, so that a body that was cut off may
+	// look complete.
+	FramingNone Framing = "none"
+)
+
+// Framing returns how the response states where its body ends.
+func (a *Answer) Framing() Framing {
+	switch {
+	case a.ContentLength >= 0:
+		return FramingLength
+	case len(a.TransferEncoding) > 0:
+		return FramingChunked
+	default:
+		return FramingNone
+	}
+}
+
 // ResponseInfo returns the properties that the response's headers state.
 func (a *Answer) ResponseInfo() server.ResponseInfo { return a.info }
 
--- a/internal/server/meter/relay.go
+++ b/internal/server/meter/relay.go
@@ -34,8 +34,8 @@
 			Name: "oriolemill_relayed_seconds", Help: "Time of a relayed request, to its end.", Buckets: durationBuckets(),
 		}, []string{"route", "outcome"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "oriolemill_relay_attempts_total", Help: "Attempts at replicas by service and what they showed.",
-		}, []string{"service", "fate"}),
+			Name: "oriolemill_relay_attempts_total", Help: "Attempts at replicas by service, what they showed and the framing of the response.",
+		}, []string{"service", "fate", "framing"}),
 		attemptSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "oriolemill_relay_attempt_seconds", Help: "Time of an attempt at a replica.", Buckets: durationBuckets(),
 		}, []string{"service"}),
@@ -64,8 +64,8 @@
 }
 
 // RecordAttempt implements relayer.Meter.
-func (m *RelayMeter) RecordAttempt(service, outcome string, duration time.Duration) {
-	m.attempts.WithLabelValues(service, outcome).Inc()
+func (m *RelayMeter) RecordAttempt(service, outcome, framing string, duration time.Duration) {
+	m.attempts.WithLabelValues(service, outcome, framing).Inc()
 	m.attemptSeconds.WithLabelValues(service).Observe(duration.Seconds())
 }
 
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -29,8 +29,9 @@
 type Meter interface {
 	// RecordRequest records a finished request.
 	RecordRequest(route, outcome string, status int, duration time.Duration)
-	// RecordAttempt records an attempt at a replica of a service.
-	RecordAttempt(service, outcome string, duration time.Duration)
+	// RecordAttempt records an attempt at a replica of a service; framing is that of the
+	// response, "" without any.
+	RecordAttempt(service, outcome, framing string, duration time.Duration)
 	// RecordStages records the time until a request's stages were computed.
 	RecordStages(route string, duration time.Duration)
 }
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/exchanger"
 	"oriolemill.example/oriolemill/internal/server/fronter"
 	"oriolemill.example/oriolemill/internal/server/registrar"
 	"oriolemill.example/oriolemill/internal/server/router"
@@ -89,11 +90,13 @@
 	events          eventSplitter
 	// shouldAbort is set if the connection must be closed without completing the
 	// response.
-	shouldAbort    bool
-	status         int
-	outcome        string
-	reason         string
-	replica        string
+	shouldAbort bool
+	status      int
+	outcome     string
+	reason      string
+	replica     string
+	// framing is that of the last response of a replica; "" without any.
+	framing        exchanger.Framing
 	stagesDuration time.Duration
 	// sendDelay is the time from the arrival of the request to the start of its last attempt.
 	sendDelay time.Duration
@@ -204,7 +207,7 @@
 	f.sendDelay = startedAt.Sub(f.arrivedAt)
 	outcome := f.send(&replica)
 	duration := f.Timer.Now().Sub(startedAt)
-	f.Meter.RecordAttempt(f.service, outcome.String(), duration)
+	f.Meter.RecordAttempt(f.service, outcome.String(), string(f.framing), duration)
 	return f.handleAttempt(outcome, &replica, duration)
 }
 
@@ -223,7 +226,7 @@
 	}
 	if outcome != attemptComplete && outcome != attemptDisconnected {
 		f.Log.Info("attempt failed", "request", f.info.ID, "route", f.route.Name, "service", f.service, "replica", replica.ID,
-			"born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "took_ms", duration.Milliseconds(),
+			"born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "framing", f.framing, "unfinished", len(f.events.remainder()), "took_ms", duration.Milliseconds(),
 			"left_ms", f.remaining().Milliseconds(), "attempts", f.attemptCount, "tries", f.tryCount, "again", next == actionRetry || next == actionRecomputeInputs)
 	}
 	if outcome != attemptUnsent && outcome != attemptRefused && outcome != attemptMisdirected && outcome != attemptInputsLost {
@@ -346,6 +349,6 @@
 	f.Meter.RecordRequest(routeName, f.outcome, f.status, duration)
 	f.Log.Info("request", "request", f.info.ID, "route", routeName, "plan", planVersion, "workspace", workspace, "priority", f.priority, "rank", f.rank,
 		"patience_ms", f.info.ClientTimeout.Milliseconds(), "service", f.service, "replica", f.replica, "outcome", f.outcome, "status", f.status, "reason", f.reason,
-		"attempts", f.attemptCount, "tries", f.tryCount, "took_ms", duration.Milliseconds(), "staged_ms", f.stagesDuration.Milliseconds(), "sent_ms", f.sendDelay.Milliseconds(), "stage_ms", f.stageDurations,
+		"framing", f.framing, "unfinished", len(f.events.remainder()), "attempts", f.attemptCount, "tries", f.tryCount, "took_ms", duration.Milliseconds(), "staged_ms", f.stagesDuration.Milliseconds(), "sent_ms", f.sendDelay.Milliseconds(), "stage_ms", f.stageDurations,
 		"first_ms", f.firstByteDelay.Milliseconds(), "last_event", f.events.lastID)
 }
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -57,6 +57,7 @@
 	defer f.stopStallTimer()
 	request := f.upstreamRequest(replica)
 	request.Check = func() error { return f.checkSend(replica) }
+	f.framing = ""
 	response, sendState, err := f.Exchanger.Do(ctx, replica, request)
 	if sendState != server.SendStateUnsent {
 		f.attemptCount++
@@ -65,6 +66,7 @@
 	if err != nil {
 		return f.handleNoResponse(attempt, sendState, err)
 	}
+	f.framing = response.Framing()
 	responseInfo := response.ResponseInfo()
 	attempt.RecordHeaders(responseInfo)
 	switch {
