Treat a stream that ends inside an event as broken off

The relay forwarded the bytes after the last whole event and ended the stream when the replica's bytes ended; where a response has neither a length nor chunks, that is also when its replica dies. The log has these requests as answered, with no error.

A stream that ends inside an event, in any framing, is now an early end like a read error: resumed where the route allows, else the client's connection is closed, or 502 if nothing was forwarded. Blank lines after the last event are no part of an event. Events may end with carriage returns alone, and a response of another content type on a stream's route is forwarded as it is: both passed as an unfinished rest before.

--- a/internal/server/relayer/events.go
+++ b/internal/server/relayer/events.go
@@ -47,6 +47,10 @@
 // remainder returns the bytes after the last complete event.
 func (e *eventSplitter) remainder() []byte { return e.buffered }
 
+// isInsideEvent reports whether an event has begun and has not ended. Blank lines between
+// events belong to none.
+func (e *eventSplitter) isInsideEvent() bool { return len(bytes.Trim(e.buffered, "\r\n")) > 0 }
+
 // resume prepares for the stream of another replica, which may repeat events.
 func (e *eventSplitter) resume() {
 	e.buffered = nil
@@ -58,7 +62,7 @@
 // eventEnd returns the length of the first complete event including its blank line, or -1.
 func eventEnd(data []byte) int {
 	end := -1
-	for _, separator := range [...]string{"\n\n", "\r\n\r\n", "\n\r\n"} {
+	for _, separator := range [...]string{"\n\n", "\r\n\r\n", "\n\r\n", "\r\r"} {
 		if at := bytes.Index(data, []byte(separator)); at >= 0 && (end < 0 || at+len(separator) < end) {
 			end = at + len(separator)
 		}
@@ -68,7 +72,7 @@
 
 // eventID returns an event's ID, or false if it has none.
 func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
+	for line := range bytes.FieldsFuncSeq(event, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value)), true
 		}
--- a/internal/server/relayer/events_test.go
+++ b/internal/server/relayer/events_test.go
@@ -37,6 +37,23 @@
 	is.Equal(n, 2)
 }
 
+// TestEventsMayEndWithCarriageReturns guards against whole streams that seem to end inside an
+// event, since their lines end with a carriage return.
+func TestEventsMayEndWithCarriageReturns(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		is := is.New(t)
+		var e eventSplitter
+		text := strings.ReplaceAll(sample, "\n", lineEnd)
+		complete, n := e.add([]byte(text))
+		is.Equal(n, 3)
+		is.Equal(e.lastID, "3")
+		is.Equal(string(complete)+string(e.remainder()), text)
+		is.True(!e.isInsideEvent())
+		e.add([]byte("id: 4" + lineEnd))
+		is.True(e.isInsideEvent())
+	}
+}
+
 // FuzzEvents checks that the complete events and the remainder are the whole stream, however
 // it is split into reads.
 func FuzzEvents(f *testing.F) {
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"strings"
@@ -99,6 +100,9 @@
 	return context.Cause(f.ctx)
 }
 
+// errInsideEvent means that a stream ended before its last event was complete.
+var errInsideEvent = merry.New("the stream ended inside an event")
+
 // errStalled is the cause with which an attempt is cancelled when its response has stalled
 // and another replica may continue.
 var errStalled = merry.New("the replica fell silent")
@@ -204,14 +208,14 @@
 // forwardResponse forwards a response to the client and returns the outcome. A server error
 // is kept in lastFailure instead.
 func (f *relayedRequest) forwardResponse(response *exchanger.Answer) attemptOutcome {
-	if f.route.Kind == server.RouteKindStream && response.StatusCode < http.StatusMultipleChoices {
+	if f.route.Kind == server.RouteKindStream && response.StatusCode < http.StatusMultipleChoices && mayBeEventStream(response.Header) {
 		return f.forwardStream(response)
 	}
 	if f.responseStarted {
-		// The header of the response was written before, so an error response to a
-		// resumption cannot be forwarded.
+		// The header of the response was written before, so a response without events
+		// cannot be forwarded.
 		response.Close(false)
-		f.reason = "the replica responded with status " + strconv.Itoa(response.StatusCode) + " to a resumption"
+		f.reason = "the replica responded to a resumption with status " + strconv.Itoa(response.StatusCode) + " and no events"
 		return attemptStreamBroken
 	}
 	var body bytes.Buffer
@@ -235,6 +239,13 @@
 	return attemptComplete
 }
 
+// mayBeEventStream reports whether a response with this header may consist of events; one
+// without a content type may.
+func mayBeEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err != nil || mediaType == "text/event-stream"
+}
+
 // handleTruncated returns the outcome of an attempt whose response ended early, before any
 // of it was forwarded.
 func (f *relayedRequest) handleTruncated(err error) attemptOutcome {
@@ -324,10 +335,13 @@
 		if len(f.events.remainder()) > maxEventBytes {
 			err = errors.New("an event is longer than the limit")
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !f.events.isInsideEvent() {
 			response.Close(true)
 			return f.finishStream(response)
 		}
+		if errors.Is(err, io.EOF) {
+			err = errInsideEvent
+		}
 		if err != nil {
 			response.Close(false)
 			return f.handleBrokenStream(err)
@@ -357,8 +371,8 @@
 	return err == nil
 }
 
-// finishStream ends a stream whose replica has ended it. Bytes after the last complete
-// event are forwarded as well.
+// finishStream ends a stream whose replica has ended it. Blank lines after the last event
+// are forwarded as well.
 func (f *relayedRequest) finishStream(response *exchanger.Answer) attemptOutcome {
 	if remainder := f.events.remainder(); len(remainder) > 0 && !f.forwardEvents(response, remainder) {
 		return attemptDisconnected
