Treat an unframed stream without events as broken off

A replica that died right after the headers of a response without a length or chunks left its caller with an empty stream of status 200: the end of the connection was taken for the end of the stream, and no byte of an event told otherwise. Such a response is now cut: the request is retried where it may be repeated, else it fails with 502; after a resumption the client's connection is closed. A framed response without events stays whole.

--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -88,7 +88,7 @@
 // Framing returns how the response states where its body ends.
 func (a *Answer) Framing() Framing {
 	switch {
-	case a.ContentLength >= 0:
+	case a.ContentLength >= 0, a.Body == http.NoBody:
 		return FramingLength
 	case len(a.TransferEncoding) > 0:
 		return FramingChunked
--- a/internal/server/relayer/events.go
+++ b/internal/server/relayer/events.go
@@ -3,11 +3,21 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/ansel1/merry/v2"
+
+	"oriolemill.example/oriolemill/internal/server/exchanger"
 )
 
 // maxEventBytes bounds the bytes of an incomplete event.
 const maxEventBytes = 1 << 20
 
+// errInsideEvent means that a stream ended before its last event was complete.
+var errInsideEvent = merry.New("the stream ended inside an event")
+
+// errNoEvents means that a stream without a length or chunks ended before its first event.
+var errNoEvents = merry.New("the connection ended before the first event")
+
 // eventSplitter splits a stream of server-sent events into complete events: only these are
 // forwarded, so that another replica can resume the stream.
 type eventSplitter struct {
@@ -19,6 +29,9 @@
 	// skipThrough is the highest event ID that the client had at the last resumption;
 	// events up to it are dropped.
 	skipThrough int64
+	// eventCount is the number of complete events of the present response, those dropped
+	// included.
+	eventCount int
 }
 
 // add adds bytes of the stream and returns the events that are complete now, and their
@@ -30,6 +43,7 @@
 		if end < 0 {
 			return complete, count
 		}
+		e.eventCount++
 		event := e.buffered[:end]
 		if id, ok := eventID(event); ok {
 			if number, err := strconv.ParseInt(id, 10, 64); err == nil && number <= e.skipThrough {
@@ -51,9 +65,22 @@
 // events belong to none.
 func (e *eventSplitter) isInsideEvent() bool { return len(bytes.Trim(e.buffered, "\r\n")) > 0 }
 
+// checkEnd returns an error if a response whose bytes have ended is not a whole stream. Without
+// a length or chunks, only the events tell.
+func (e *eventSplitter) checkEnd(framing exchanger.Framing) error {
+	switch {
+	case e.isInsideEvent():
+		return errInsideEvent
+	case framing == exchanger.FramingNone && e.eventCount == 0:
+		return errNoEvents
+	default:
+		return nil
+	}
+}
+
 // resume prepares for the stream of another replica, which may repeat events.
 func (e *eventSplitter) resume() {
-	e.buffered = nil
+	e.buffered, e.eventCount = nil, 0
 	if number, err := strconv.ParseInt(e.lastID, 10, 64); err == nil {
 		e.skipThrough = number
 	}
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -100,9 +100,6 @@
 	return context.Cause(f.ctx)
 }
 
-// errInsideEvent means that a stream ended before its last event was complete.
-var errInsideEvent = merry.New("the stream ended inside an event")
-
 // errStalled is the cause with which an attempt is cancelled when its response has stalled
 // and another replica may continue.
 var errStalled = merry.New("the replica fell silent")
@@ -335,12 +332,11 @@
 		if len(f.events.remainder()) > maxEventBytes {
 			err = errors.New("an event is longer than the limit")
 		}
-		if errors.Is(err, io.EOF) && !f.events.isInsideEvent() {
-			response.Close(true)
-			return f.finishStream(response)
-		}
 		if errors.Is(err, io.EOF) {
-			err = errInsideEvent
+			if err = f.events.checkEnd(response.Framing()); err == nil {
+				response.Close(true)
+				return f.finishStream(response)
+			}
 		}
 		if err != nil {
 			response.Close(false)
