Reset the connection of an HTTP/1.0 client when its answer is broken off

A client of HTTP/1.0 gets streams and long answers without a length; for it, the end of the connection is the end of the answer. When a replica broke a stream off, the instance closed that connection as after a whole one, so the client could not tell. It is reset now. Clients of HTTP/1.1 notice by the missing last chunk and keep what they have received.

--- a/internal/server/fronter/fronter.go
+++ b/internal/server/fronter/fronter.go
@@ -54,6 +54,16 @@
 	return ok && peeker.Peek(conn) == peeker.StateClosed
 }
 
+// ResetOnClose makes the connection of a request end with a reset once it is closed, so that
+// a response that ends with its connection does not look complete. ctx is the context of the
+// request.
+func ResetOnClose(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(interface{ SetLinger(seconds int) error }); ok {
+		// If this fails, the connection is closed already.
+		_ = conn.SetLinger(0)
+	}
+}
+
 // connListener is the net.Listener of the HTTP server for one set of limits. Its Accept
 // returns the connections that the Fronter has accepted and sends to conns.
 type connListener struct {
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"oriolemill.example/oriolemill/internal/server/batcher"
 	"oriolemill.example/oriolemill/internal/server/chooser"
 	"oriolemill.example/oriolemill/internal/server/exchanger"
+	"oriolemill.example/oriolemill/internal/server/fronter"
 	"oriolemill.example/oriolemill/internal/server/registrar"
 	"oriolemill.example/oriolemill/internal/server/stager"
 )
@@ -78,6 +79,10 @@
 	f.run()
 	f.logRequest()
 	if f.shouldAbort {
+		if !r.ProtoAtLeast(1, 1) {
+			// Its client knows no chunks, so the end of the connection is the end of the response.
+			fronter.ResetOnClose(r.Context())
+		}
 		// The server closes the connection without completing the response.
 		panic(http.ErrAbortHandler)
 	}
