Do not reuse a connection whose response was not read to its end

Where the relay reads a response up to a limit (refusals 256 KiB, stage calls 4 MiB), it took the limit for the end of the response and returned the connection to the pool, unless the rest had arrived already. The next request on it then got the rest as its answer: 200 with bytes of the earlier response.

The body itself now notices its end, and only then the connection is reused; Answer.Close has no argument that could say otherwise. A response to a stage call beyond the limit is an error, not a shorter response.

--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -14,7 +14,7 @@
 	"oriolemill.example/oriolemill/internal/server/dialer"
 )
 
-// maxStageResponseBytes bounds the part of a stage call's response that is read.
+// maxStageResponseBytes bounds the response to a stage call.
 const maxStageResponseBytes = 4 << 20
 
 // Exchanger sends requests over pooled connections. It is safe for concurrent use.
@@ -61,6 +61,7 @@
 // called exactly once.
 type Answer struct {
 	*http.Response
+	body   *endTracker
 	info   server.ResponseInfo
 	conn   *dialer.Conn
 	dialer *dialer.Dialer
@@ -76,11 +77,11 @@
 type Framing string
 
 const (
-	// FramingLength: the headers state the length of the body.
+	// FramingLength means that the headers state the length of the body.
 	FramingLength Framing = "length"
-	// FramingChunked: the body is sent in chunks, of which the last one is marked.
+	// FramingChunked means that the body is sent in chunks, of which the last one is marked.
 	FramingChunked Framing = "chunked"
-	// FramingNone: the body ends with the connection, so that a body that was cut off may
+	// FramingNone means that the body ends with the connection, so that a body that was cut off may
 	// look complete.
 	FramingNone Framing = "none"
 )
@@ -88,7 +89,7 @@
 // Framing returns how the response states where its body ends.
 func (a *Answer) Framing() Framing {
 	switch {
-	case a.ContentLength >= 0, a.Body == http.NoBody:
+	case a.ContentLength >= 0, a.body.ReadCloser == http.NoBody:
 		return FramingLength
 	case len(a.TransferEncoding) > 0:
 		return FramingChunked
@@ -100,9 +101,9 @@
 // ResponseInfo returns the properties that the response's headers state.
 func (a *Answer) ResponseInfo() server.ResponseInfo { return a.info }
 
-// Close ends the exchange; complete reports whether the body was read to its end. Only
-// then, and if the whole request was sent, the connection returns to the pool.
-func (a *Answer) Close(complete bool) {
+// Close ends the exchange. The connection returns to the pool only if the body was read to
+// its end and the whole request was sent.
+func (a *Answer) Close() {
 	isSent := false
 	select {
 	case err := <-a.sendResult:
@@ -110,13 +111,27 @@
 	default:
 	}
 	// If detach comes too late, the context is closing the connection.
-	if isDetached := a.detach(); complete && isSent && isDetached && a.conn.IsReusable(a.Response) {
+	if isDetached := a.detach(); a.body.hasEnded && isSent && isDetached && a.conn.IsReusable(a.Response) {
 		a.dialer.Put(a.conn, a.info.IdleTimeout)
 		return
 	}
 	_ = a.conn.Close()
 }
 
+// endTracker is the body of a response. It notices its end, which a reader with a limit may not
+// have reached.
+type endTracker struct {
+	io.ReadCloser
+	hasEnded bool
+}
+
+// Read implements io.Reader.
+func (b *endTracker) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	b.hasEnded = b.hasEnded || errors.Is(err, io.EOF)
+	return n, err
+}
+
 // Do sends a request and returns once the response's headers are read. If it returns
 // an error, sendState says whether the replica may have received the request. The
 // connection is closed when ctx ends.
@@ -168,8 +183,10 @@
 		}
 		return nil, server.SendStateUnknown, server.NewFault("exchange", replica.ID, err)
 	}
+	body := &endTracker{ReadCloser: response.Body}
+	response.Body = body
 	return &Answer{
-		Response: response, info: x.codec.ParseResponse(response.StatusCode, response.Header), conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach,
+		Response: response, body: body, info: x.codec.ParseResponse(response.StatusCode, response.Header), conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach,
 	}, server.SendStateAnswered, nil
 }
 
@@ -214,8 +231,11 @@
 	if err != nil {
 		return nil, err
 	}
-	responseBody, err := io.ReadAll(io.LimitReader(answer.Body, maxStageResponseBytes))
-	answer.Close(err == nil)
+	responseBody, err := io.ReadAll(io.LimitReader(answer.Body, maxStageResponseBytes+1))
+	answer.Close()
+	if err == nil && len(responseBody) > maxStageResponseBytes {
+		err = merry.Errorf("the response is longer than %d bytes", maxStageResponseBytes)
+	}
 	switch {
 	case err != nil:
 		return nil, server.NewFault("read", replica.ID, merry.Prepend(server.ErrUnavailable, err.Error()))
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -184,8 +184,9 @@
 // returns outcome. chooserOutcome is recorded for the replica.
 func (f *relayedRequest) handleRefusal(attempt *chooser.Attempt, response *exchanger.Answer, outcome attemptOutcome, chooserOutcome chooser.Outcome) attemptOutcome {
 	f.reason = "the replica answered " + strconv.Itoa(response.StatusCode) + " and did not run it"
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
-	response.Close(err == nil)
+	// If this fails, the connection is not reused.
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
+	response.Close()
 	attempt.End(chooserOutcome)
 	return outcome
 }
@@ -211,21 +212,21 @@
 	if f.responseStarted {
 		// The header of the response was written before, so a response without events
 		// cannot be forwarded.
-		response.Close(false)
+		response.Close()
 		f.reason = "the replica responded to a resumption with status " + strconv.Itoa(response.StatusCode) + " and no events"
 		return attemptStreamBroken
 	}
 	var body bytes.Buffer
 	_, err := body.ReadFrom(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
-		response.Close(false)
+		response.Close()
 		return f.handleTruncated(err)
 	}
 	f.firstByteDelay = f.Timer.Now().Sub(f.arrivedAt)
 	if body.Len() == maxBufferedBytes {
 		return f.forwardLarge(response, body.Bytes())
 	}
-	response.Close(true)
+	response.Close()
 	header := f.Codec.ClientHeader(response.Header)
 	if response.StatusCode >= http.StatusInternalServerError {
 		f.lastFailure = &upstreamFailure{status: response.StatusCode, header: header, body: body.Bytes()}
@@ -301,12 +302,12 @@
 	f.status, f.outcome = response.StatusCode, outcomeAnswered
 	f.writeHeader(response.StatusCode)
 	if _, err := f.w.Write(start); err != nil {
-		response.Close(false)
+		response.Close()
 		f.checkWrite(err)
 		return attemptDisconnected
 	}
 	_, err := io.Copy(f.w, response.Body)
-	response.Close(err == nil)
+	response.Close()
 	if err != nil {
 		f.shouldAbort, f.outcome, f.reason = true, outcomeBroken, "the response ended early: "+err.Error()
 	}
@@ -324,7 +325,7 @@
 		complete, count := f.events.add(buffer[:n])
 		if count > 0 {
 			if !f.forwardEvents(response, complete) {
-				response.Close(false)
+				response.Close()
 				return attemptDisconnected
 			}
 			f.startStallTimer(max(stallGapFactor*f.route.EventGap, minStreamStallTimeout))
@@ -334,12 +335,12 @@
 		}
 		if errors.Is(err, io.EOF) {
 			if err = f.events.checkEnd(response.Framing()); err == nil {
-				response.Close(true)
+				response.Close()
 				return f.finishStream(response)
 			}
 		}
 		if err != nil {
-			response.Close(false)
+			response.Close()
 			return f.handleBrokenStream(err)
 		}
 	}
