Reject an object whose response states no length

The client of the object store returned whatever bytes came before the end of the connection, or before its limit of 64 MiB, as the object. A response without a length or chunks, and one beyond the limit, is an error now. TestUnframedObjectIsNotRead failed before.

A stand-in, UnframedServer, serves any stand-in's responses without a length and breaks them off at any byte. With it, calls to pools, services and engines, load and cache reports and rows of the table are broken off after each of their bytes: all of these end with a mark or a closing bracket, and none was taken for complete, before or after this change.

--- a/internal/server/storer/storer.go
+++ b/internal/server/storer/storer.go
@@ -108,16 +108,20 @@
 // GetObject returns an object. The error is ErrNotFound if there is none, and otherwise
 // ErrUnavailable.
 func (s *Storer) GetObject(ctx context.Context, name string) ([]byte, error) {
-	body, err := s.getBody(ctx, messenger.PathObjects+url.PathEscape(name))
+	body, isFramed, err := s.getBody(ctx, messenger.PathObjects+url.PathEscape(name))
 	if err != nil {
 		return nil, server.NewFault("get", "objects", err)
 	}
+	if !isFramed {
+		return nil, server.NewFault("get", "objects", merry.Prepend(server.ErrUnavailable, "the response states no length, so the object may be incomplete"))
+	}
 	return body, nil
 }
 
 // getJSON sends a GET request and decodes the response.
 func (s *Storer) getJSON(ctx context.Context, path string, into any) error {
-	body, err := s.getBody(ctx, path)
+	// JSON shows where it ends, so the framing does not matter.
+	body, _, err := s.getBody(ctx, path)
 	if err != nil {
 		return server.NewFault("read", "platform", err)
 	}
@@ -127,29 +131,32 @@
 	return nil
 }
 
-// getBody sends a GET request and returns the body. The error is ErrNotFound for
-// status 404, and otherwise ErrUnavailable.
-func (s *Storer) getBody(ctx context.Context, path string) ([]byte, error) {
+// getBody sends a GET request and returns the body, and whether the response states where it
+// ends. The error is ErrNotFound for status 404, and otherwise ErrUnavailable.
+func (s *Storer) getBody(ctx context.Context, path string) (body []byte, isFramed bool, err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.baseURL+path, nil)
 	if err != nil {
-		return nil, merry.Wrap(err)
+		return nil, false, merry.Wrap(err)
 	}
 	response, err := s.client.Do(request)
 	if err != nil {
-		return nil, merry.Prepend(server.ErrUnavailable, err.Error())
+		return nil, false, merry.Prepend(server.ErrUnavailable, err.Error())
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode == http.StatusNotFound {
-		return nil, merry.Wrap(server.ErrNotFound)
+		return nil, false, merry.Wrap(server.ErrNotFound)
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, merry.Prependf(server.ErrUnavailable, "status %d", response.StatusCode)
+		return nil, false, merry.Prependf(server.ErrUnavailable, "status %d", response.StatusCode)
+	}
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = merry.Errorf("the response is longer than %d bytes", maxResponseBytes)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return nil, merry.Prepend(server.ErrUnavailable, err.Error())
+		return nil, false, merry.Prepend(server.ErrUnavailable, err.Error())
 	}
-	return body, nil
+	return body, response.ContentLength >= 0 || len(response.TransferEncoding) > 0, nil
 }
 
 // writeError returns ErrUnavailable if the connection could not be established, so
