Read the software version of replicas and state it in log lines

The row's version is read now and stated in the lines "replica registered", "attempt failed" and "request". No choice depends on the version yet.

--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -279,7 +279,7 @@
 	r.replicas[row.Name] = replica
 	if !exists || current.IsDraining != replica.IsDraining || current.StartMillis != replica.StartMillis || current.Address != replica.Address {
 		r.log.Info("replica registered", "replica", row.Name, "service", replica.Service, "address", replica.Address,
-			"datacentre", replica.Datacentre, "born", replica.StartMillis, "draining", replica.IsDraining, "store_version", row.Version)
+			"datacentre", replica.Datacentre, "version", replica.Version, "born", replica.StartMillis, "draining", replica.IsDraining, "store_version", row.Version)
 	}
 }
 
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -129,6 +129,9 @@
 // Replica is one registered replica of a service.
 type Replica struct {
 	ID, Service, Address, Datacentre string
+	// Version is that of the replica's software. Replicas of several versions may serve side
+	// by side; versions have no order.
+	Version string
 	// StartMillis is the start time in Unix milliseconds. It distinguishes incarnations
 	// of one ID.
 	StartMillis int64
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -94,7 +94,8 @@
 	status      int
 	outcome     string
 	reason      string
-	replica     string
+	// replica and version are those of the last attempt.
+	replica, version string
 	// framing is that of the last response of a replica; "" without any.
 	framing        exchanger.Framing
 	stagesDuration time.Duration
@@ -226,7 +227,7 @@
 	}
 	if outcome != attemptComplete && outcome != attemptDisconnected {
 		f.Log.Info("attempt failed", "request", f.info.ID, "route", f.route.Name, "service", f.service, "replica", replica.ID,
-			"born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "framing", f.framing, "unfinished", len(f.events.remainder()), "took_ms", duration.Milliseconds(),
+			"version", replica.Version, "born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "framing", f.framing, "unfinished", len(f.events.remainder()), "took_ms", duration.Milliseconds(),
 			"left_ms", f.remaining().Milliseconds(), "attempts", f.attemptCount, "tries", f.tryCount, "again", next == actionRetry || next == actionRecomputeInputs)
 	}
 	if outcome != attemptUnsent && outcome != attemptRefused && outcome != attemptMisdirected && outcome != attemptInputsLost {
@@ -348,7 +349,7 @@
 	}
 	f.Meter.RecordRequest(routeName, f.outcome, f.status, duration)
 	f.Log.Info("request", "request", f.info.ID, "route", routeName, "plan", planVersion, "workspace", workspace, "priority", f.priority, "rank", f.rank,
-		"patience_ms", f.info.ClientTimeout.Milliseconds(), "service", f.service, "replica", f.replica, "outcome", f.outcome, "status", f.status, "reason", f.reason,
+		"patience_ms", f.info.ClientTimeout.Milliseconds(), "service", f.service, "replica", f.replica, "version", f.version, "outcome", f.outcome, "status", f.status, "reason", f.reason,
 		"framing", f.framing, "unfinished", len(f.events.remainder()), "attempts", f.attemptCount, "tries", f.tryCount, "took_ms", duration.Milliseconds(), "staged_ms", f.stagesDuration.Milliseconds(), "sent_ms", f.sendDelay.Milliseconds(), "stage_ms", f.stageDurations,
 		"first_ms", f.firstByteDelay.Milliseconds(), "last_event", f.events.lastID)
 }
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -49,7 +49,7 @@
 // send sends the request to a replica, forwards the response and returns the outcome.
 func (f *relayedRequest) send(replica *server.Replica) attemptOutcome {
 	f.attempted = append(f.attempted, replica.ID)
-	f.replica = replica.ID
+	f.replica, f.version = replica.ID, replica.Version
 	attempt := f.Chooser.Begin(replica)
 	ctx, cancel := context.WithCancelCause(f.ctx)
 	defer cancel(nil)
