Resume a stream only at the software version that began it

The choice of a replica for the rest of a stream took any of the service.

If none is left, the client's connection is closed at once and no retry is taken from the budget. Requests of which nothing was forwarded are free to move: they join nothing.

--- a/internal/server/registrar/view.go
+++ b/internal/server/registrar/view.go
@@ -33,11 +33,11 @@
 // IDs. The caller must not change the slice.
 func (v *View) Replicas(service string) []server.Replica { return v.services[service] }
 
-// IsServing reports whether a replica may get new work in the incarnation and at the
-// address given.
+// IsServing reports whether a replica may get new work in the incarnation, of the software
+// version and at the address given.
 func (v *View) IsServing(replica *server.Replica) bool {
 	current, ok := v.replicas[replica.ID]
-	return ok && current.StartMillis == replica.StartMillis && current.Address == replica.Address
+	return ok && current.StartMillis == replica.StartMillis && current.Version == replica.Version && current.Address == replica.Address
 }
 
 // ReplicaAt returns the replica of a service at an address if it may get new work.
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -143,6 +143,11 @@
 	WarmAt time.Time
 }
 
+// StreamOrigin is what began a stream: a service, and the software version of its replica.
+type StreamOrigin struct {
+	Service, Version string
+}
+
 // Instance is a process of the deployment, as its row in the store describes it.
 type Instance struct {
 	ID         string `json:"id"`
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -244,9 +244,32 @@
 	return f.info.PromptParts[max(len(f.info.PromptParts)-2, 0)].ID
 }
 
+// candidates returns the replicas of the service that may get the request by the current view:
+// once a stream has begun, those of the software version that began it, since events of two
+// versions do not fit together.
+func (f *relayedRequest) candidates() []server.Replica {
+	replicas := f.view.Replicas(f.service)
+	if f.origin == nil {
+		return replicas
+	}
+	var ofVersion []server.Replica
+	for _, replica := range replicas {
+		if replica.Version == f.origin.Version {
+			ofVersion = append(ofVersion, replica)
+		}
+	}
+	return ofVersion
+}
+
+// hasReplicaLeft reports whether a candidate is left to which the request was not sent.
+func (f *relayedRequest) hasReplicaLeft() bool {
+	f.view = f.View()
+	return slices.ContainsFunc(f.candidates(), func(r server.Replica) bool { return !slices.Contains(f.attempted, r.ID) })
+}
+
 // chooseReplica returns the best replica by the current view; false when none is left.
 func (f *relayedRequest) chooseReplica() (server.Replica, bool) {
-	return f.Chooser.Pick(f.view.Replicas(f.service), chooser.Criteria{AffinityKey: f.affinityKey(), AttemptedReplicas: f.attempted})
+	return f.Chooser.Pick(f.candidates(), chooser.Criteria{AffinityKey: f.affinityKey(), AttemptedReplicas: f.attempted})
 }
 
 // nextReplica updates the view and returns the replica for the next attempt; false when
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -96,6 +96,8 @@
 	reason      string
 	// replica and version are those of the last attempt.
 	replica, version string
+	// origin is what began the stream whose events the client has; nil without any.
+	origin *server.StreamOrigin
 	// framing is that of the last response of a replica; "" without any.
 	framing        exchanger.Framing
 	stagesDuration time.Duration
@@ -221,7 +223,12 @@
 	}
 	d := decide(outcome, state)
 	next := d.action
-	if d.needsBudget && !f.Budget.AcquireRetries(f.service, 1) {
+	switch {
+	case !d.needsBudget:
+	case f.origin != nil && !f.hasReplicaLeft():
+		next = d.fallback
+		f.reason += "; no other replica of version " + f.origin.Version + " is left"
+	case !f.Budget.AcquireRetries(f.service, 1):
 		next = d.fallback
 		f.reason = "the budget for repeats is used up"
 	}
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -353,6 +353,7 @@
 		f.copyHeader(f.Codec.ClientHeader(response.Header))
 		f.w.Header().Del("Content-Length")
 		f.status = response.StatusCode
+		f.origin = &server.StreamOrigin{Service: f.service, Version: f.version}
 		f.writeHeader(response.StatusCode)
 		if f.results != nil && !f.route.IsResumable {
 			// The engine has read its inputs, and they are not needed to resume.
