Let a client's tries resume a stream only at its version

A client that takes a stream up again reaches any instance, which sent the rest to any replica of whatever service the new attempt's ID selects: events of two versions, over the client's tries.

Each instance records service and version of the resumable streams that it begins and tells two others (package pinner); a next try is sent to that service and version. If no instance knows, or no replica of the version is left, the request is refused at once, as nothing else is safe for a client that already has events. Members of older builds ignore the new messages, so asking them does not mark them as down (Linker.Ask).

TestClientResumesAtTheVersionOfItsStream and TestUnknownStreamIsNotResumed failed before and pass now; TestClientResumesAfterTheInstanceIsGone passes still.

--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -27,6 +27,7 @@
 	"oriolemill.example/oriolemill/internal/server/gossiper"
 	"oriolemill.example/oriolemill/internal/server/linker"
 	"oriolemill.example/oriolemill/internal/server/meter"
+	"oriolemill.example/oriolemill/internal/server/pinner"
 	"oriolemill.example/oriolemill/internal/server/recorder"
 	"oriolemill.example/oriolemill/internal/server/registrar"
 	"oriolemill.example/oriolemill/internal/server/relayer"
@@ -62,6 +63,7 @@
 	gossiper          *gossiper.Gossiper
 	owner             *batcher.Owner
 	submitter         *batcher.Submitter
+	pinner            *pinner.Pinner
 	chooser           *chooser.Chooser
 	dialer            *dialer.Dialer
 	relayer           *relayer.Relayer
@@ -114,9 +116,10 @@
 	i.owner = batcher.NewOwner(log, timer, upstreamExchanger, budget)
 	i.submitter = batcher.NewSubmitter(log, timer, i.linker, i.owner)
 	i.chooser = chooser.New(timer)
+	i.pinner = pinner.New(timer, i.linker)
 	i.relayer = relayer.New(relayer.Dependencies{
 		Log: log, Timer: timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
-		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Meter: i.meter,
+		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, Meter: i.meter,
 	})
 	i.fronter = fronter.New(log, listeners.clients, i.relayer)
 	i.registerCounters()
@@ -199,3 +202,6 @@
 
 // ActiveRequests returns the number of client requests in progress.
 func (i *Instance) ActiveRequests() int64 { return i.relayer.ActiveRequests() }
+
+// AvailableInstances returns the number of instances that respond to this one, itself included.
+func (i *Instance) AvailableInstances() int { return len(i.linker.AvailableInstances()) }
--- a/internal/server/composer/counters.go
+++ b/internal/server/composer/counters.go
@@ -32,6 +32,12 @@
 	i.meter.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "oriolemill_replicas_kept", Help: "Replicas kept for now though their registration is missing.",
 	}, func() float64 { return float64(i.registrar.PendingRemovals()) }))
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_resumed_known_total", Help: "Streams resumed by clients whose version was found.",
+	}, func() uint64 { found, _ := i.pinner.Counts(); return found })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_resumed_unknown_total", Help: "Streams to resume whose version no instance knew.",
+	}, func() uint64 { _, unknown := i.pinner.Counts(); return unknown })
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_connections_opened_total", Help: "Connections opened to replicas.",
 	}, func() uint64 { opened, _ := i.dialer.Counts(); return opened })
--- a/internal/server/composer/membership.go
+++ b/internal/server/composer/membership.go
@@ -108,6 +108,10 @@
 		return i.gossiper.HandleRowsRequest(body.RowsRequest.GetTable())
 	case *encoder.Frame_VersionAnnouncement:
 		i.gossiper.HandleAnnouncement(from, body.VersionAnnouncement)
+	case *encoder.Frame_StreamOrigin:
+		i.pinner.HandleOrigin(body.StreamOrigin)
+	case *encoder.Frame_OriginRequest:
+		return i.pinner.HandleRequest(body.OriginRequest)
 	case *encoder.Frame_Leaving:
 		i.linker.HandleLeaving(from)
 	}
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -205,6 +205,18 @@
 	return topByRendezvous(name, l.ownerCandidates(l.AvailableInstances()), 1)[0]
 }
 
+// HolderIDs returns the IDs of up to count other instances that respond, in the order of their
+// rendezvous hashes for a name. All instances have nearly the same order.
+func (l *Linker) HolderIDs(name string, count int) []string {
+	var ids []string
+	for _, instance := range l.AvailableInstances() {
+		if instance.ID != l.self.ID {
+			ids = append(ids, instance.ID)
+		}
+	}
+	return topByRendezvous(name, ids, count)
+}
+
 const (
 	// leaderCount is the number of leaders: instances that watch the store for all.
 	leaderCount = 5
@@ -264,6 +276,17 @@
 	return response, err
 }
 
+// Ask sends a frame to a member and returns the response. Unlike Call, it may be used for
+// frames that members of another build do not answer: a failure does not mark the member as
+// down.
+func (l *Linker) Ask(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error) {
+	link, err := l.linkTo(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	return link.call(ctx, frame)
+}
+
 // Send sends a frame that has no response to a member, after dialing it if there is
 // no link.
 func (l *Linker) Send(ctx context.Context, id string, frame *encoder.Frame) error {
--- /dev/null
+++ b/internal/server/pinner/pinner.go
@@ -0,0 +1,213 @@
+// Package pinner remembers which service and software version began each stream, so that no
+// later try of a client joins events of two versions. Instances tell each other: a client's
+// next try may reach any of them.
+package pinner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
+)
+
+const (
+	// retention is how long an origin is kept at least. Streams and their clients' tries end
+	// before.
+	retention = time.Minute
+	// maxOrigins bounds the origins that arrive in one retention time; beyond it the oldest
+	// are dropped sooner.
+	maxOrigins = 1 << 16
+	// copies is the number of other instances that are told of an origin.
+	copies = 2
+	// sendTimeout bounds the sending of an origin to another instance.
+	sendTimeout = time.Second
+	// askTimeout bounds the wait for the answers of other instances.
+	askTimeout = 150 * time.Millisecond
+	// maxSearches and searchBurst bound the questions to all instances, in questions a
+	// second and at once: a client may name an attempt that never was.
+	maxSearches = 20
+	searchBurst = 40
+)
+
+// Links carries messages to other instances.
+type Links interface {
+	// HolderIDs returns the IDs of up to count other instances that respond. All instances
+	// prefer the same ones for a name.
+	HolderIDs(name string, count int) []string
+	// Send sends a frame that has no response.
+	Send(ctx context.Context, id string, frame *encoder.Frame) error
+	// Ask sends a frame and returns the response.
+	Ask(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error)
+}
+
+// Pinner holds the origins of streams. It implements server.StreamOrigins and is safe for
+// concurrent use.
+type Pinner struct {
+	links    Links
+	searches *rate.Limiter
+	ctx      context.Context
+	cancel   context.CancelFunc
+	// messages are the goroutines that send and wait for messages.
+	messages sync.WaitGroup
+	// stopRotation stops the timer that calls rotate.
+	stopRotation   func()
+	found, unknown atomic.Uint64
+	// mu guards newer and older, the origins by attempt. Those of older are dropped when
+	// newer takes their place.
+	mu           sync.Mutex
+	newer, older map[string]server.StreamOrigin
+}
+
+// conflicting is stored for an attempt of which different origins were told.
+var conflicting = server.StreamOrigin{}
+
+// New returns a Pinner. Close must be called once.
+func New(timer server.Timer, links Links) *Pinner {
+	p := &Pinner{links: links, searches: rate.NewLimiter(maxSearches, searchBurst), newer: make(map[string]server.StreamOrigin)}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.stopRotation = timer.Every(retention, func(time.Time) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.rotate()
+	})
+	return p
+}
+
+// Close ends the messages in progress.
+func (p *Pinner) Close() {
+	p.stopRotation()
+	p.mu.Lock()
+	p.cancel()
+	p.mu.Unlock()
+	p.messages.Wait()
+}
+
+// start calls send in its own goroutine and returns true, or returns false after Close.
+func (p *Pinner) start(send func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return false
+	}
+	p.messages.Go(send)
+	return true
+}
+
+// Counts returns how many origins were found and how many were not.
+func (p *Pinner) Counts() (found, unknown uint64) { return p.found.Load(), p.unknown.Load() }
+
+// Record implements server.StreamOrigins. It does not wait until others were told.
+func (p *Pinner) Record(attempt string, origin server.StreamOrigin) {
+	p.store(attempt, origin)
+	frame := &encoder.Frame{Body: &encoder.Frame_StreamOrigin{StreamOrigin: &encoder.StreamOrigin{Attempt: attempt, Service: origin.Service, Version: origin.Version}}}
+	for _, id := range p.links.HolderIDs(attempt, copies) {
+		p.start(func() {
+			ctx, cancel := context.WithTimeout(p.ctx, sendTimeout)
+			defer cancel()
+			// Without this copy the origin may be unknown later, and the stream is then not
+			// resumed.
+			_ = p.links.Send(ctx, id, frame)
+		})
+	}
+}
+
+// HandleOrigin stores an origin that another instance tells.
+func (p *Pinner) HandleOrigin(told *encoder.StreamOrigin) {
+	p.store(told.GetAttempt(), server.StreamOrigin{Service: told.GetService(), Version: told.GetVersion()})
+}
+
+// HandleRequest returns the response to another instance that asks for an origin.
+func (p *Pinner) HandleRequest(request *encoder.OriginRequest) *encoder.Frame {
+	response := &encoder.OriginResponse{}
+	if origin, ok := p.load(request.GetAttempt()); ok {
+		response.Origin = &encoder.StreamOrigin{Attempt: request.GetAttempt(), Service: origin.Service, Version: origin.Version}
+	}
+	return &encoder.Frame{Body: &encoder.Frame_OriginResponse{OriginResponse: response}}
+}
+
+// Find implements server.StreamOrigins. It asks the instances that were told, and then all
+// others.
+func (p *Pinner) Find(ctx context.Context, attempt string) (server.StreamOrigin, bool) {
+	origin, ok := p.load(attempt)
+	if !ok {
+		// The instance that began the stream may take the place of one of the copies in the
+		// order of this instance.
+		holders := p.links.HolderIDs(attempt, copies+1)
+		if origin, ok = p.ask(ctx, holders, attempt); !ok && p.searches.Allow() {
+			others := slices.DeleteFunc(p.links.HolderIDs(attempt, maxOrigins), func(id string) bool { return slices.Contains(holders, id) })
+			origin, ok = p.ask(ctx, others, attempt)
+		}
+	}
+	if !ok || origin == conflicting {
+		p.unknown.Add(1)
+		return server.StreamOrigin{}, false
+	}
+	p.found.Add(1)
+	return origin, true
+}
+
+// ask asks instances for an origin and returns the first that one of them knows.
+func (p *Pinner) ask(ctx context.Context, ids []string, attempt string) (server.StreamOrigin, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	frame := &encoder.Frame{Body: &encoder.Frame_OriginRequest{OriginRequest: &encoder.OriginRequest{Attempt: attempt}}}
+	answers := make(chan *encoder.StreamOrigin, len(ids))
+	for _, id := range ids {
+		isStarted := p.start(func() {
+			// Without a response, the instance knows of no origin as far as this one can tell.
+			response, _ := p.links.Ask(ctx, id, frame)
+			answers <- response.GetOriginResponse().GetOrigin()
+		})
+		if !isStarted {
+			return server.StreamOrigin{}, false
+		}
+	}
+	for range ids {
+		if answer := <-answers; answer != nil {
+			origin := server.StreamOrigin{Service: answer.GetService(), Version: answer.GetVersion()}
+			p.store(attempt, origin)
+			return origin, true
+		}
+	}
+	return server.StreamOrigin{}, false
+}
+
+// store keeps the origin of an attempt.
+func (p *Pinner) store(attempt string, origin server.StreamOrigin) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known, ok := p.lookup(attempt); ok && known != origin {
+		origin = conflicting
+	}
+	if len(p.newer) >= maxOrigins {
+		p.rotate()
+	}
+	p.newer[attempt] = origin
+}
+
+// load returns the origin of an attempt that this instance knows.
+func (p *Pinner) load(attempt string) (server.StreamOrigin, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lookup(attempt)
+}
+
+// lookup returns the origin of an attempt. mu must be held.
+func (p *Pinner) lookup(attempt string) (server.StreamOrigin, bool) {
+	if origin, ok := p.newer[attempt]; ok {
+		return origin, true
+	}
+	origin, ok := p.older[attempt]
+	return origin, ok
+}
+
+// rotate drops the older origins. mu must be held.
+func (p *Pinner) rotate() {
+	p.older, p.newer = p.newer, make(map[string]server.StreamOrigin)
+}
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -148,6 +148,16 @@
 	Service, Version string
 }
 
+// StreamOrigins remembers what began the streams of all instances. It must be safe for
+// concurrent use.
+type StreamOrigins interface {
+	// Record records what began the stream of a client's attempt.
+	Record(attempt string, origin StreamOrigin)
+	// Find returns what began the stream of a client's attempt at any instance; ok is false
+	// if none knows.
+	Find(ctx context.Context, attempt string) (origin StreamOrigin, ok bool)
+}
+
 // Instance is a process of the deployment, as its row in the store describes it.
 type Instance struct {
 	ID         string `json:"id"`
@@ -181,6 +191,9 @@
 	PieceKey string
 	// LastEventID is the ID of the last event that the client received, or "".
 	LastEventID string
+	// ResumedID is the ID of the client's attempt that brought the first event of the stream
+	// that this one resumes, or "".
+	ResumedID string
 }
 
 // PromptPart is a part of a prompt that several requests may share.
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -47,6 +47,44 @@
 	typicalFill = 0.5
 )
 
+// findOrigin finds the service and version of the stream that the client resumes, so that the
+// rest of it is sent there. It reports whether the request goes on: without a replica of that
+// version the stream cannot.
+func (f *relayedRequest) findOrigin() bool {
+	if f.route.Kind != server.RouteKindStream || f.info.LastEventID == "" {
+		return true
+	}
+	origin, ok := f.onlyOrigin()
+	if f.info.ResumedID != "" {
+		origin, ok = f.Origins.Find(f.ctx, f.info.ResumedID)
+	}
+	switch {
+	case context.Cause(f.ctx) != nil && errors.Is(context.Cause(f.ctx), context.Canceled):
+		return f.endDisconnected("client disconnected before the stream's version was known")
+	case !ok:
+		return f.refuse("no instance knows which software version began the stream", refusedRetryAfter)
+	case !slices.ContainsFunc(f.route.Targets, func(t server.RouteTarget) bool { return t.Service == origin.Service && t.Weight > 0 }):
+		return f.refuse("the stream began at a service that the route no longer leads to", refusedRetryAfter)
+	}
+	f.origin, f.service = &origin, origin.Service
+	if len(f.candidates()) == 0 {
+		return f.refuse("no replica of the version that began the stream is left", refusedRetryAfter)
+	}
+	return true
+}
+
+// onlyOrigin returns the version of all replicas of the service; ok is false if they have
+// several. It is for clients that do not name the attempt that began their stream.
+func (f *relayedRequest) onlyOrigin() (origin server.StreamOrigin, ok bool) {
+	for i, replica := range f.view.Replicas(f.service) {
+		if i > 0 && replica.Version != origin.Version {
+			return server.StreamOrigin{}, false
+		}
+		origin, ok = server.StreamOrigin{Service: f.service, Version: replica.Version}, true
+	}
+	return origin, ok
+}
+
 // admit reports whether the request is admitted. It refuses a request that cannot be
 // served before its deadline, and one that would miss its goal while the stage services
 // have no capacity to spare.
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -49,6 +49,7 @@
 	Stager        *stager.Stager
 	Budget        server.RetryBudget
 	WaitEstimator WaitEstimator
+	Origins       server.StreamOrigins
 	Meter         Meter
 }
 
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -128,7 +128,7 @@
 			f.results.Release()
 		}
 	}()
-	if !f.resolveRoute() || !f.readBody() || !f.checkClient() || !f.admit() || !f.computeStages() {
+	if !f.resolveRoute() || !f.readBody() || !f.checkClient() || !f.findOrigin() || !f.admit() || !f.computeStages() {
 		return
 	}
 	for f.attempt() {
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -354,6 +354,9 @@
 		f.w.Header().Del("Content-Length")
 		f.status = response.StatusCode
 		f.origin = &server.StreamOrigin{Service: f.service, Version: f.version}
+		if f.route.IsResumable && f.info.ID != "" {
+			f.Origins.Record(f.info.ID, *f.origin)
+		}
 		f.writeHeader(response.StatusCode)
 		if f.results != nil && !f.route.IsResumable {
 			// The engine has read its inputs, and they are not needed to resume.
