Generate the rest of a stream at the software version that began it

The assembled pipelines resume a broken or slow generation at any engine with the model's version, whatever the version of the engine's software; tokens of two versions are then one text, for the caller or the next stage.

Entries of the platform's list may state the software version. Once an engine has generated tokens, the picker takes only engines of its version, on all levels, and the check before the first byte compares it with the newest list. On a platform that states no versions, all are equal.

--- a/internal/server/decision.go
+++ b/internal/server/decision.go
@@ -64,6 +64,9 @@
 	BlockHashes []uint64
 	// Model is the model or adapter that the engine must have loaded; may be empty.
 	Model string
+	// Version is the software version that the replica must have, unless it is nil: that of
+	// the replica that generated the tokens to go on from.
+	Version *string
 	// ExpectedTokens is the estimated number of tokens to generate.
 	ExpectedTokens int
 	// AttemptedUpstreams holds the IDs of the upstreams that already received an attempt of
--- a/internal/server/picker/picker.go
+++ b/internal/server/picker/picker.go
@@ -56,7 +56,8 @@
 // strictness is the set of conditions that a candidate has to meet.
 type strictness uint8
 
-// Each level drops one condition of the one before. Leaving replicas are never picked.
+// Each level drops one condition of the one before. Leaving replicas, and those of another
+// software version or model than requested, are never picked.
 const (
 	strict strictness = iota
 	allowAttempted
@@ -125,6 +126,9 @@
 	if u.IsLeaving() || (c.level < allowEjected && u.IsEjected()) {
 		return false
 	}
+	if c.request.Version != nil && u.Version() != *c.request.Version {
+		return false
+	}
 	if c.level < allowAttempted && slices.Contains(c.request.AttemptedUpstreams, u.ID()) {
 		return false
 	}
--- a/internal/server/platform.go
+++ b/internal/server/platform.go
@@ -85,6 +85,9 @@
 	// Address is host:port with an IP address as the host. For an instance of this
 	// deployment it is the address of the peer listener.
 	Address string `json:"address"`
+	// Version is that of the upstream's software; "" on a platform that does not state it.
+	// Replicas of several versions may serve side by side.
+	Version string `json:"version,omitempty"`
 	// Presence is live or leaving.
 	Presence Presence `json:"presence"`
 }
--- a/internal/server/runner/attempt.go
+++ b/internal/server/runner/attempt.go
@@ -211,7 +211,9 @@
 		return answer, nil
 	}
 	if len(c.streamedTokens) > 0 {
-		pickRequest.Model = a.call.Model // a stream continues with the model version it began with
+		// A stream continues with the versions of model and software that it began with.
+		version := a.upstream.Version()
+		pickRequest.Model, pickRequest.Version = a.call.Model, &version
 	}
 	return answer, err
 }
--- a/internal/server/runner/runner_test.go
+++ b/internal/server/runner/runner_test.go
@@ -63,6 +63,25 @@
 	// refusals is the number of calls that a plain service refuses first.
 	refusals     int
 	observations []server.Observation
+	// beganAt are the software versions at which the streams of the prompts began;
+	// mixedVersions counts the streams that went on at another one.
+	beganAt       map[string]string
+	mixedVersions int
+}
+
+// recordVersion records at which software version a stream begins or goes on.
+func (u *fakeUpstreams) recordVersion(prompt string, upstream *server.Upstream, isResumed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.beganAt == nil {
+		u.beganAt = make(map[string]string)
+	}
+	if !isResumed {
+		u.beganAt[prompt] = upstream.Version()
+	}
+	if u.beganAt[prompt] != upstream.Version() {
+		u.mixedVersions++
+	}
 }
 
 // Observe records the observation of an attempt.
@@ -113,11 +132,12 @@
 
 // Generate streams the tokens after the prefix. The stream may be slow or break
 // off.
-func (u *fakeUpstreams) Generate(ctx context.Context, _ *server.Upstream, call server.Call, handleToken server.TokenHandler) (server.Answer, error) {
+func (u *fakeUpstreams) Generate(ctx context.Context, upstream *server.Upstream, call server.Call, handleToken server.TokenHandler) (server.Answer, error) {
 	var prompt string
 	if err := json.Unmarshal(call.Input, &prompt); err != nil {
 		return server.Answer{}, err
 	}
+	u.recordVersion(prompt, upstream, len(call.ResumePrefix) > 0)
 	want := expectedTokens(prompt)
 	breakAt, tokenMillis := tokenCount+u.intN(tokenCount), 5+u.intN(10)
 	if u.intN(3) == 0 {
@@ -160,7 +180,7 @@
 // noOrders is an Orderer for requests without side effects.
 type noOrders struct{ server.Orderer }
 
-// newSnapshot returns a snapshot with three replicas of each service.
+// newSnapshot returns a snapshot with three replicas of each service, of two software versions.
 func newSnapshot(t testing.TB, timer server.Timer) *server.Snapshot {
 	t.Helper()
 	is := is.New(t)
@@ -171,7 +191,7 @@
 	replicas := make(map[string][]*server.Upstream)
 	for _, service := range deployment.ServiceNames() {
 		for i := range 3 {
-			listing := server.Listing{ID: fmt.Sprint(service, "-", i), Service: service, Datacentre: "north", Presence: server.PresenceLive}
+			listing := server.Listing{ID: fmt.Sprint(service, "-", i), Service: service, Datacentre: "north", Version: fmt.Sprint("v", i%2), Presence: server.PresenceLive}
 			replicas[service] = append(replicas[service], server.NewUpstream(listing, &server.Gauge{}))
 		}
 	}
@@ -214,7 +234,7 @@
 
 // TestTokensAreNeverLostDuplicatedOrMixed checks that, under any interleaving of
 // broken streams, slow attempts, hedges and late responses, each caller receives
-// its own tokens, in order, none lost or duplicated. A request that is done has
+// its own tokens, in order, none lost or duplicated, all of one software version. A request that is done has
 // all its tokens, and no attempt remains counted as inflight.
 func TestTokensAreNeverLostDuplicatedOrMixed(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
@@ -265,9 +285,10 @@
 		}()
 	}
 	group.Wait()
-	is.True(doneCount.Load() > 0)    // the test covers complete responses
-	is.True(resumedCount.Load() > 0) // the test covers resumed streams
-	time.Sleep(time.Minute)          // wait for late responses to cancelled attempts
+	is.Equal(upstreams.mixedVersions, 0) // no stream holds tokens of two software versions
+	is.True(doneCount.Load() > 0)        // the test covers complete responses
+	is.True(resumedCount.Load() > 0)     // the test covers resumed streams
+	time.Sleep(time.Minute)              // wait for late responses to cancelled attempts
 	for _, replicas := range snapshot.Services() {
 		for _, replica := range replicas {
 			is.Equal(replica.Gauge().Inflight(), int64(0))
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -156,7 +156,7 @@
 // work.
 func (s *Snapshot) IsServing(upstream *Upstream) bool {
 	current := s.upstreamsByID[upstream.ID()]
-	return current != nil && current.Address() == upstream.Address() && !current.IsLeaving()
+	return current != nil && current.Address() == upstream.Address() && current.Version() == upstream.Version() && !current.IsLeaving()
 }
 
 // Services iterates over all services with their replicas.
--- a/internal/server/upstream.go
+++ b/internal/server/upstream.go
@@ -115,6 +115,9 @@
 // Datacentre returns the data centre of the upstream.
 func (u *Upstream) Datacentre() string { return u.listing.Datacentre }
 
+// Version returns the version of the upstream's software, "" if it is not known.
+func (u *Upstream) Version() string { return u.listing.Version }
+
 // Address returns the address of the upstream as host:port.
 func (u *Upstream) Address() string { return u.listing.Address }
 
