Reserve the addresses of processes that tests start

The test takes a port from a listener on port 0 and closes it; until the process binds it, the system may give it to an outgoing connection or to a listener on port 0 of any other test, of which a whole run has thousands.

--- a/internal/prover/fleet_test.go
+++ b/internal/prover/fleet_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"oriolemill.example/oriolemill/examples"
+	"oriolemill.example/oriolemill/internal/reserver"
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/configurer"
 	"oriolemill.example/oriolemill/internal/server/storer"
@@ -126,13 +126,13 @@
 	return p
 }
 
-// freeAddress returns an address on loopback that nothing listens on.
+// freeAddress returns an address on loopback that nothing else uses until the test ends.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	address, release, err := reserver.Reserve()
 	is.New(t).NoErr(err)
-	defer func() { _ = socket.Close() }()
-	return socket.Addr().String()
+	t.Cleanup(release)
+	return address
 }
 
 // start starts the process of an instance.
--- a/internal/server/drainer/drainer_test.go
+++ b/internal/server/drainer/drainer_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/matryer/is"
 
+	"oriolemill.example/oriolemill/internal/reserver"
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/assembler"
 	"oriolemill.example/oriolemill/internal/server/configurer"
@@ -231,13 +232,13 @@
 	os.Exit(code)
 }
 
-// freeAddress returns a loopback address that is not in use.
+// freeAddress returns an address on loopback that nothing else uses until the test ends.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	server, err := standin.Listen("127.0.0.1:0", http.NotFoundHandler(), standin.NewFaultInjector())
+	address, release, err := reserver.Reserve()
 	is.New(t).NoErr(err)
-	server.Close()
-	return server.Address()
+	t.Cleanup(release)
+	return address
 }
 
 // waitReady waits until the instance with the given operator address is ready.
