Copy cached blocks only between engines of one software version

The planner warms an engine that has just loaded a model with the cached blocks of the busiest engine of its data centre, whatever the version of that engine's software; what it then generates goes on from the other's bytes. TestBlocksAreCopiedWithinASoftwareVersion failed before.

--- a/internal/server/planner/plan.go
+++ b/internal/server/planner/plan.go
@@ -188,7 +188,7 @@
 }
 
 // warmNewReplicas copies cached blocks to engines that have just loaded a model, from
-// the engine in their data centre that has the most requests for it.
+// the engine in their data centre, of their software version, that has the most requests for it.
 func (p *planState) warmNewReplicas() {
 	for _, to := range p.replicas {
 		for _, model := range p.in.NewModels[to.ID] {
@@ -199,12 +199,12 @@
 	}
 }
 
-// busiestPeer returns the other engine of the data centre that has the most requests
-// for a model, or nil.
+// busiestPeer returns the other engine of the data centre and the software version that has
+// the most requests for a model, or nil. What two versions have cached does not fit together.
 func (p *planState) busiestPeer(to *replica, model string) *replica {
 	var best *replica
 	for _, r := range p.replicas {
-		if r == to || r.Datacentre != to.Datacentre || !r.serves(model) || r.RequestsByModel[model] == 0 {
+		if r == to || r.Datacentre != to.Datacentre || r.Version != to.Version || !r.serves(model) || r.RequestsByModel[model] == 0 {
 			continue
 		}
 		if best == nil || r.RequestsByModel[model] > best.RequestsByModel[model] {
--- a/internal/server/planner/plan_test.go
+++ b/internal/server/planner/plan_test.go
@@ -102,6 +102,26 @@
 	return instructions
 }
 
+// TestBlocksAreCopiedWithinASoftwareVersion guards against an engine that goes on from cached
+// blocks of another software version.
+func TestBlocksAreCopiedWithinASoftwareVersion(t *testing.T) {
+	is := is.New(t)
+	engine := func(id, version string, requests int) Replica {
+		return Replica{ID: id, Datacentre: "north", Version: version, Models: []string{"small"}, Slots: 8, RequestsByModel: map[string]int{"small": requests}}
+	}
+	in := Input{
+		Models: []string{"small"}, MaxModels: 1, MinReplicasPerDatacentre: 1, Demand: map[string]float64{"small": 8},
+		Replicas: []Replica{engine("a", "v1", 2), engine("b", "v2", 6), engine("new", "v1", 0)}, NewModels: map[string][]string{"new": {"small"}},
+	}
+	from := ""
+	for _, instruction := range Plan(in).Instructions {
+		if instruction.Action == ActionCopyBlocks {
+			from = instruction.From
+		}
+	}
+	is.Equal(from, "a") // b has more requests, and another version
+}
+
 func TestEveryDatacentreKeepsMinimumReplicas(t *testing.T) {
 	is := is.New(t)
 	e := newEngines(12, 3, 2, 1, "a", "b")
--- a/internal/server/planner/service.go
+++ b/internal/server/planner/service.go
@@ -113,6 +113,7 @@
 	return Replica{
 		ID:              upstream.ID(),
 		Datacentre:      upstream.Datacentre(),
+		Version:         upstream.Version(),
 		Models:          load.Models,
 		Role:            load.Role,
 		Slots:           load.Slots,
--- a/internal/server/planner/types.go
+++ b/internal/server/planner/types.go
@@ -39,6 +39,8 @@
 	// ID is the engine's ID and Datacentre where it runs.
 	ID         string
 	Datacentre string
+	// Version is that of the engine's software.
+	Version string
 	// Models are the loaded models.
 	Models []string
 	// Role is the reported role; empty means both.
