Send each message of a stream's origin in a frame of its own

Both writes store the same value, so no caller can have seen an effect. The fake links of the pinner's tests marshal frames now as the real ones do, with which two of them reported the race before.

--- a/internal/server/pinner/pinner.go
+++ b/internal/server/pinner/pinner.go
@@ -105,9 +105,10 @@
 // Record implements server.StreamOrigins. It does not wait until others were told.
 func (p *Pinner) Record(attempt string, origin server.StreamOrigin) {
 	p.store(attempt, origin)
-	frame := &encoder.Frame{Body: &encoder.Frame_StreamOrigin{StreamOrigin: &encoder.StreamOrigin{Attempt: attempt, Service: origin.Service, Version: origin.Version}}}
 	for _, id := range p.links.HolderIDs(attempt, copies) {
 		p.start(func() {
+			// Sending changes a frame, so each message has its own.
+			frame := &encoder.Frame{Body: &encoder.Frame_StreamOrigin{StreamOrigin: encodeOrigin(attempt, origin)}}
 			ctx, cancel := context.WithTimeout(p.ctx, sendTimeout)
 			defer cancel()
 			// Without this copy the origin may be unknown later, and the stream is then not
@@ -126,11 +127,16 @@
 func (p *Pinner) HandleRequest(request *encoder.OriginRequest) *encoder.Frame {
 	response := &encoder.OriginResponse{}
 	if origin, ok := p.load(request.GetAttempt()); ok {
-		response.Origin = &encoder.StreamOrigin{Attempt: request.GetAttempt(), Service: origin.Service, Version: origin.Version}
+		response.Origin = encodeOrigin(request.GetAttempt(), origin)
 	}
 	return &encoder.Frame{Body: &encoder.Frame_OriginResponse{OriginResponse: response}}
 }
 
+// encodeOrigin returns the message that tells the origin of an attempt.
+func encodeOrigin(attempt string, origin server.StreamOrigin) *encoder.StreamOrigin {
+	return &encoder.StreamOrigin{Attempt: attempt, Service: origin.Service, Version: origin.Version}
+}
+
 // Find implements server.StreamOrigins. It asks the instances that were told, and then all
 // others.
 func (p *Pinner) Find(ctx context.Context, attempt string) (server.StreamOrigin, bool) {
@@ -156,10 +162,10 @@
 func (p *Pinner) ask(ctx context.Context, ids []string, attempt string) (server.StreamOrigin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	frame := &encoder.Frame{Body: &encoder.Frame_OriginRequest{OriginRequest: &encoder.OriginRequest{Attempt: attempt}}}
 	answers := make(chan *encoder.StreamOrigin, len(ids))
 	for _, id := range ids {
 		isStarted := p.start(func() {
+			frame := &encoder.Frame{Body: &encoder.Frame_OriginRequest{OriginRequest: &encoder.OriginRequest{Attempt: attempt}}}
 			// Without a response, the instance knows of no origin as far as this one can tell.
 			response, _ := p.links.Ask(ctx, id, frame)
 			answers <- response.GetOriginResponse().GetOrigin()
--- a/internal/server/pinner/pinner_test.go
+++ b/internal/server/pinner/pinner_test.go
@@ -92,6 +92,9 @@
 
 // Send implements pinner.Links.
 func (l *fleetLinks) Send(_ context.Context, id string, frame *encoder.Frame) error {
+	if _, err := encoder.Marshal(frame, encoder.MaxFrameBytes); err != nil {
+		return err
+	}
 	if p, isSilent := l.peer(id); p != nil && !isSilent {
 		p.HandleOrigin(frame.GetStreamOrigin())
 	}
@@ -100,6 +103,9 @@
 
 // Ask implements pinner.Links.
 func (l *fleetLinks) Ask(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error) {
+	if _, err := encoder.Marshal(frame, encoder.MaxFrameBytes); err != nil {
+		return nil, err
+	}
 	l.mu.Lock()
 	l.asked++
 	l.mu.Unlock()
