Bound the search for a stream's origin when a link blocks

A question to another instance ends with its context only as far as the link allows: opening a stream on a link to a frozen instance may block longer. The fake links of the tests block for a second now, with which TestOriginIsFoundBesideInstancesThatDoNotAnswer failed before.

--- a/internal/server/pinner/pinner.go
+++ b/internal/server/pinner/pinner.go
@@ -175,10 +175,16 @@
 		}
 	}
 	for range ids {
-		if answer := <-answers; answer != nil {
+		select {
+		case answer := <-answers:
+			if answer == nil {
+				continue
+			}
 			origin := server.StreamOrigin{Service: answer.GetService(), Version: answer.GetVersion()}
 			p.store(attempt, origin)
 			return origin, true
+		case <-ctx.Done():
+			return server.StreamOrigin{}, false
 		}
 	}
 	return server.StreamOrigin{}, false
--- a/internal/server/pinner/pinner_test.go
+++ b/internal/server/pinner/pinner_test.go
@@ -114,8 +114,9 @@
 		return nil, server.ErrUnavailable
 	}
 	if isSilent {
-		<-ctx.Done()
-		return nil, ctx.Err()
+		// A link to a frozen instance may block longer than the context allows.
+		time.Sleep(time.Second)
+		return nil, context.Cause(ctx)
 	}
 	return p.HandleRequest(frame.GetOriginRequest()), nil
 }
