--- a/internal/server/pinner/pinner.go
+++ b/internal/server/pinner/pinner.go
@@ -1,6 +1,6 @@
-// Package pinner remembers which service and software version began each stream, so that no
-// later try of a client joins events of two versions. Instances tell each other: a client's
-// next try may reach any of them.
+// Package pinner records which service and software version began each stream, so that no
+// retry of a client joins events of two versions. The records are replicated, since a retry
+// may reach any instance.
 package pinner
 
 import (
@@ -23,14 +23,14 @@
 	// maxOrigins bounds the origins that arrive in one retention time; beyond it the oldest
 	// are dropped sooner.
 	maxOrigins = 1 << 16
-	// copies is the number of other instances that are told of an origin.
+	// copies is the number of other instances to which a record is replicated.
 	copies = 3
 	// sendTimeout bounds the sending of an origin to another instance.
 	sendTimeout = time.Second
-	// askTimeout bounds the wait for the answers of other instances.
+	// askTimeout bounds the wait for the responses of other instances.
 	askTimeout = 150 * time.Millisecond
-	// maxSearches and searchBurst bound the questions to all instances, in questions a
-	// second and at once: a client may name an attempt that never was.
+	// maxSearches and searchBurst limit the rate, a second, and the burst of queries to all
+	// instances, since a client may name any attempt.
 	maxSearches = 20
 	searchBurst = 40
 )
@@ -64,7 +64,7 @@
 	newer, older map[string]server.StreamOrigin
 }
 
-// conflicting is stored for an attempt of which different origins were told.
+// conflicting is stored for an attempt with which different origins were received.
 var conflicting = server.StreamOrigin{}
 
 // New returns a Pinner. Close must be called once.
@@ -102,7 +102,7 @@
 // Counts returns how many origins were found and how many were not.
 func (p *Pinner) Counts() (found, unknown uint64) { return p.found.Load(), p.unknown.Load() }
 
-// Record implements server.StreamOrigins. It does not wait until others were told.
+// Record implements server.StreamOrigins. It does not wait for the replication.
 func (p *Pinner) Record(attempt string, origin server.StreamOrigin) {
 	p.store(attempt, origin)
 	for _, id := range p.links.HolderIDs(attempt, copies) {
@@ -118,12 +118,12 @@
 	}
 }
 
-// HandleOrigin stores an origin that another instance tells.
-func (p *Pinner) HandleOrigin(told *encoder.StreamOrigin) {
-	p.store(told.GetAttempt(), server.StreamOrigin{Service: told.GetService(), Version: told.GetVersion()})
+// HandleOrigin stores an origin that another instance replicates.
+func (p *Pinner) HandleOrigin(message *encoder.StreamOrigin) {
+	p.store(message.GetAttempt(), server.StreamOrigin{Service: message.GetService(), Version: message.GetVersion()})
 }
 
-// HandleRequest returns the response to another instance that asks for an origin.
+// HandleRequest returns the response to a query of another instance.
 func (p *Pinner) HandleRequest(request *encoder.OriginRequest) *encoder.Frame {
 	response := &encoder.OriginResponse{}
 	if origin, ok := p.load(request.GetAttempt()); ok {
@@ -132,13 +132,13 @@
 	return &encoder.Frame{Body: &encoder.Frame_OriginResponse{OriginResponse: response}}
 }
 
-// encodeOrigin returns the message that tells the origin of an attempt.
+// encodeOrigin returns the message with the origin of an attempt.
 func encodeOrigin(attempt string, origin server.StreamOrigin) *encoder.StreamOrigin {
 	return &encoder.StreamOrigin{Attempt: attempt, Service: origin.Service, Version: origin.Version}
 }
 
-// Find implements server.StreamOrigins. It asks the instances that were told, and then all
-// others.
+// Find implements server.StreamOrigins. It queries the holders of the record, and then all
+// other instances.
 func (p *Pinner) Find(ctx context.Context, attempt string) (server.StreamOrigin, bool) {
 	origin, ok := p.load(attempt)
 	if !ok {
@@ -158,7 +158,7 @@
 	return origin, true
 }
 
-// ask asks instances for an origin and returns the first that one of them knows.
+// ask queries instances for an origin and returns the first one found.
 func (p *Pinner) ask(ctx context.Context, ids []string, attempt string) (server.StreamOrigin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
@@ -166,7 +166,7 @@
 	for _, id := range ids {
 		isStarted := p.start(func() {
 			frame := &encoder.Frame{Body: &encoder.Frame_OriginRequest{OriginRequest: &encoder.OriginRequest{Attempt: attempt}}}
-			// Without a response, the instance knows of no origin as far as this one can tell.
+			// An error counts as a response without an origin.
 			response, _ := p.links.Ask(ctx, id, frame)
 			answers <- response.GetOriginResponse().GetOrigin()
 		})
@@ -203,7 +203,7 @@
 	p.newer[attempt] = origin
 }
 
-// load returns the origin of an attempt that this instance knows.
+// load returns the origin of an attempt that this instance has recorded.
 func (p *Pinner) load(attempt string) (server.StreamOrigin, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -73,8 +73,8 @@
 	return true
 }
 
-// onlyOrigin returns the version of all replicas of the service; ok is false if they have
-// several. It is for clients that do not name the attempt that began their stream.
+// onlyOrigin returns the version that all replicas of the service have now; ok is false if
+// they have several. It is for clients that do not name the attempt that began their stream.
 func (f *relayedRequest) onlyOrigin() (origin server.StreamOrigin, ok bool) {
 	for i, replica := range f.view.Replicas(f.service) {
 		if i > 0 && replica.Version != origin.Version {
