Resume unnamed streams only at a version that has served throughout

What callers could see: events of two software versions, if they resume without Resumes after a release that replaced all replicas. Cause: the relay took the version that all replicas have now for the one that began the stream; nothing bounded the age between the two.

The view of the replicas states since when a service has had only its present version, draining replicas included. An unnamed stream goes on only if that is before it can have begun, which the timeout of its route bounds; else it is refused at once. An instance that has just started refuses them that long.

--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -390,6 +390,7 @@
 		v.instances = append(v.instances, instance)
 	}
 	v.sort()
+	v.onlyVersions = nextVersionPeriods(r.view.Load().onlyVersions, r.replicas, v.createdAt)
 	r.view.Store(v)
 	return v
 }
--- a/internal/server/registrar/registrar_test.go
+++ b/internal/server/registrar/registrar_test.go
@@ -17,7 +17,7 @@
 	"oriolemill.example/oriolemill/internal/server/ticker"
 )
 
-// decoder decodes "plan VERSION" and "replica SERVICE ADDRESS BORN SEQ STATE".
+// decoder decodes "plan VERSION" and "replica SERVICE ADDRESS BORN SEQ STATE [SOFTWARE]".
 type decoder struct{}
 
 func (decoder) DecodePlan(value []byte) (*server.Plan, error) {
@@ -35,6 +35,9 @@
 		return r, server.ErrInvalid
 	}
 	r.IsDraining = state == "draining"
+	if fields := strings.Fields(string(value)); len(fields) > 6 {
+		r.Version = fields[6]
+	}
 	return r, nil
 }
 
@@ -80,6 +83,44 @@
 	})
 }
 
+// TestOnlyVersionStatesSinceWhen guards against the version that replicas have now being taken
+// for that which they had when something began.
+func TestOnlyVersionStatesSinceWhen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, is := newLoadedRegistrar(t)
+		begin := time.Now()
+		check := func(since time.Time, wantVersion string, want bool) {
+			t.Helper()
+			version, ok := r.View().OnlyVersion("b", since)
+			is.Equal(ok, want)
+			is.True(!ok || version == wantVersion)
+		}
+		change := func(storeVersion uint64, rows ...server.StoredRow) {
+			time.Sleep(time.Second)
+			r.ApplyChanges("servers", rows, storeVersion, time.Time{})
+		}
+		check(begin, "", false)
+		change(12, row("i-2", "replica b 1:2 100 1 ready v1", 12))
+		check(begin.Add(time.Second), "v1", true)
+		check(begin, "", false) // the service was not there
+		change(13, row("i-3", "replica b 1:3 100 1 ready v1", 13))
+		check(begin.Add(time.Second), "v1", true)
+		change(14, row("i-4", "replica b 1:4 100 1 ready v2", 14))
+		check(time.Now(), "", false)
+		change(15, row("i-4", "replica b 1:4 100 2 draining v2", 15)) // it still writes streams
+		check(time.Now(), "", false)
+		change(16, deletedRow("i-4", 16))
+		check(time.Now(), "v1", true)
+		check(time.Now().Add(-time.Millisecond), "", false)
+		left := time.Now()
+		change(17, row("i-2", "replica b 1:2 200 1 ready v2", 17), row("i-3", "replica b 1:3 200 1 ready v2", 17))
+		check(left, "", false)
+		check(time.Now(), "v2", true)
+		change(18, deletedRow("i-2", 18), deletedRow("i-3", 18))
+		check(time.Now(), "", false)
+	})
+}
+
 func TestPlanVersionNeverDecreases(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r, is := newLoadedRegistrar(t)
--- a/internal/server/registrar/view.go
+++ b/internal/server/registrar/view.go
@@ -18,6 +18,8 @@
 	services  map[string][]server.Replica
 	replicas  map[string]server.Replica
 	instances []server.Instance
+	// onlyVersions holds the services whose replicas all have one software version.
+	onlyVersions map[string]versionPeriod
 	// versions holds the version that each table is known up to.
 	versions  map[string]uint64
 	createdAt time.Time
@@ -40,6 +42,44 @@
 	return ok && current.StartMillis == replica.StartMillis && current.Version == replica.Version && current.Address == replica.Address
 }
 
+// versionPeriod is a software version of a service, and the time since which no replica of
+// the service has had another one, as far as this instance has read.
+type versionPeriod struct {
+	version string
+	since   time.Time
+}
+
+// OnlyVersion returns the software version of a service's replicas if no replica has had
+// another one since a time. ok is false as well if the replicas were first read later.
+func (v *View) OnlyVersion(service string, since time.Time) (version string, ok bool) {
+	period, ok := v.onlyVersions[service]
+	return period.version, ok && !period.since.After(since)
+}
+
+// nextVersionPeriods returns the periods of the services' versions after a change of the
+// replicas, of which draining ones count, since they still write streams.
+func nextVersionPeriods(previous map[string]versionPeriod, replicas map[string]server.Replica, now time.Time) map[string]versionPeriod {
+	next := make(map[string]versionPeriod)
+	isMixed := make(map[string]bool)
+	for _, replica := range replicas {
+		period, ok := next[replica.Service]
+		switch {
+		case !ok:
+			period = versionPeriod{version: replica.Version, since: now}
+			if before, ok := previous[replica.Service]; ok && before.version == replica.Version {
+				period = before
+			}
+			next[replica.Service] = period
+		case period.version != replica.Version:
+			isMixed[replica.Service] = true
+		}
+	}
+	for service := range isMixed {
+		delete(next, service)
+	}
+	return next
+}
+
 // ReplicaAt returns the replica of a service at an address if it may get new work.
 func (v *View) ReplicaAt(service, address string) (server.Replica, bool) {
 	for _, r := range v.services[service] {
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -73,16 +73,16 @@
 	return true
 }
 
-// onlyOrigin returns the version that all replicas of the service have now; ok is false if
-// they have several. It is for clients that do not name the attempt that began their stream.
+// onlyOrigin returns the service and version that began the stream of a client that does not
+// name its attempt: the version that all replicas of the service have had since before the
+// stream can have begun.
 func (f *relayedRequest) onlyOrigin() (origin server.StreamOrigin, ok bool) {
-	for i, replica := range f.view.Replicas(f.service) {
-		if i > 0 && replica.Version != origin.Version {
-			return server.StreamOrigin{}, false
-		}
-		origin, ok = server.StreamOrigin{Service: f.service, Version: replica.Version}, true
+	maxAge := defaultClientTimeout
+	if f.route.Timeout > 0 {
+		maxAge = min(maxAge, f.route.Timeout)
 	}
-	return origin, ok
+	version, ok := f.view.OnlyVersion(f.service, f.arrivedAt.Add(-maxAge))
+	return server.StreamOrigin{Service: f.service, Version: version}, ok
 }
 
 // admit reports whether the request is admitted. It refuses a request that cannot be
