--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -47,44 +47,6 @@
 	typicalFill = 0.5
 )
 
-// findOrigin finds the service and version of the stream that the client resumes, so that the
-// rest of it is sent there. It reports whether the request goes on: without a replica of that
-// version the stream cannot.
-func (f *relayedRequest) findOrigin() bool {
-	if f.route.Kind != server.RouteKindStream || f.info.LastEventID == "" {
-		return true
-	}
-	origin, ok := f.onlyOrigin()
-	if f.info.ResumedID != "" {
-		origin, ok = f.Origins.Find(f.ctx, f.info.ResumedID)
-	}
-	switch {
-	case context.Cause(f.ctx) != nil && errors.Is(context.Cause(f.ctx), context.Canceled):
-		return f.endDisconnected("client disconnected before the stream's version was known")
-	case !ok:
-		return f.refuse("no instance knows which software version began the stream", refusedRetryAfter)
-	case !slices.ContainsFunc(f.route.Targets, func(t server.RouteTarget) bool { return t.Service == origin.Service && t.Weight > 0 }):
-		return f.refuse("the stream began at a service that the route no longer leads to", refusedRetryAfter)
-	}
-	f.origin, f.service = &origin, origin.Service
-	if len(f.candidates()) == 0 {
-		return f.refuse("no replica of the version that began the stream is left", refusedRetryAfter)
-	}
-	return true
-}
-
-// onlyOrigin returns the service and version that began the stream of a client that does not
-// name its attempt: the version that all replicas of the service have had since before the
-// stream can have begun.
-func (f *relayedRequest) onlyOrigin() (origin server.StreamOrigin, ok bool) {
-	maxAge := defaultClientTimeout
-	if f.route.Timeout > 0 {
-		maxAge = min(maxAge, f.route.Timeout)
-	}
-	version, ok := f.view.OnlyVersion(f.service, f.arrivedAt.Add(-maxAge))
-	return server.StreamOrigin{Service: f.service, Version: version}, ok
-}
-
 // admit reports whether the request is admitted. It refuses a request that cannot be
 // served before its deadline, and one that would miss its goal while the stage services
 // have no capacity to spare.
@@ -282,29 +244,6 @@
 	return f.info.PromptParts[max(len(f.info.PromptParts)-2, 0)].ID
 }
 
-// candidates returns the replicas of the service that may get the request by the current view:
-// once a stream has begun, those of the software version that began it, since events of two
-// versions do not fit together.
-func (f *relayedRequest) candidates() []server.Replica {
-	replicas := f.view.Replicas(f.service)
-	if f.origin == nil {
-		return replicas
-	}
-	var ofVersion []server.Replica
-	for _, replica := range replicas {
-		if replica.Version == f.origin.Version {
-			ofVersion = append(ofVersion, replica)
-		}
-	}
-	return ofVersion
-}
-
-// hasReplicaLeft reports whether a candidate is left to which the request was not sent.
-func (f *relayedRequest) hasReplicaLeft() bool {
-	f.view = f.View()
-	return slices.ContainsFunc(f.candidates(), func(r server.Replica) bool { return !slices.Contains(f.attempted, r.ID) })
-}
-
 // chooseReplica returns the best replica by the current view; false when none is left.
 func (f *relayedRequest) chooseReplica() (server.Replica, bool) {
 	return f.Chooser.Pick(f.candidates(), chooser.Criteria{AffinityKey: f.affinityKey(), AttemptedReplicas: f.attempted})
--- /dev/null
+++ b/internal/server/relayer/origin.go
@@ -0,0 +1,70 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"oriolemill.example/oriolemill/internal/server"
+)
+
+// findOrigin finds the service and version of the stream that the client resumes, so that the
+// rest of it is sent there. It reports whether the request goes on: without a replica of that
+// version the stream cannot.
+func (f *relayedRequest) findOrigin() bool {
+	if f.route.Kind != server.RouteKindStream || f.info.LastEventID == "" {
+		return true
+	}
+	origin, ok := f.onlyOrigin()
+	if f.info.ResumedID != "" {
+		origin, ok = f.Origins.Find(f.ctx, f.info.ResumedID)
+	}
+	switch {
+	case context.Cause(f.ctx) != nil && errors.Is(context.Cause(f.ctx), context.Canceled):
+		return f.endDisconnected("client disconnected before the stream's version was known")
+	case !ok:
+		return f.refuse("no instance knows which software version began the stream", refusedRetryAfter)
+	case !slices.ContainsFunc(f.route.Targets, func(t server.RouteTarget) bool { return t.Service == origin.Service && t.Weight > 0 }):
+		return f.refuse("the stream began at a service that the route no longer leads to", refusedRetryAfter)
+	}
+	f.origin, f.service = &origin, origin.Service
+	if len(f.candidates()) == 0 {
+		return f.refuse("no replica of the version that began the stream is left", refusedRetryAfter)
+	}
+	return true
+}
+
+// onlyOrigin returns the service and version that began the stream of a client that does not
+// name its attempt: the version that all replicas of the service have had since before the
+// stream can have begun.
+func (f *relayedRequest) onlyOrigin() (origin server.StreamOrigin, ok bool) {
+	maxAge := defaultClientTimeout
+	if f.route.Timeout > 0 {
+		maxAge = min(maxAge, f.route.Timeout)
+	}
+	version, ok := f.view.OnlyVersion(f.service, f.arrivedAt.Add(-maxAge))
+	return server.StreamOrigin{Service: f.service, Version: version}, ok
+}
+
+// candidates returns the replicas of the service that may get the request by the current view:
+// once a stream has begun, those of the software version that began it, since events of two
+// versions do not fit together.
+func (f *relayedRequest) candidates() []server.Replica {
+	replicas := f.view.Replicas(f.service)
+	if f.origin == nil {
+		return replicas
+	}
+	var ofVersion []server.Replica
+	for _, replica := range replicas {
+		if replica.Version == f.origin.Version {
+			ofVersion = append(ofVersion, replica)
+		}
+	}
+	return ofVersion
+}
+
+// hasReplicaLeft reports whether a candidate is left to which the request was not sent.
+func (f *relayedRequest) hasReplicaLeft() bool {
+	f.view = f.View()
+	return slices.ContainsFunc(f.candidates(), func(r server.Replica) bool { return !slices.Contains(f.attempted, r.ID) })
+}
