State responses of the store that are behind what is known

Now a log line states the first such response of a table with both versions, and a counter counts them. No other behaviour changes.

--- a/internal/server/composer/counters.go
+++ b/internal/server/composer/counters.go
@@ -29,6 +29,9 @@
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_store_failures_total", Help: "Calls to the store that failed.",
 	}, i.registrar.FailureCount)
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_store_stale_responses_total", Help: "Responses of the store with a version lower than the known one.",
+	}, i.registrar.StaleResponseCount)
 	i.meter.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "oriolemill_replicas_kept", Help: "Replicas kept for now though their registration is missing.",
 	}, func() float64 { return float64(i.registrar.PendingRemovals()) }))
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -53,6 +53,8 @@
 	isLoaded bool
 	// failures counts the calls that failed in a row.
 	failures int
+	// isBehind is set while the store's version is lower than the known one.
+	isBehind bool
 	// quickResponses counts the watches in a row that ended quickly without a change.
 	quickResponses int
 	// failedSince is when the first of the failed calls failed.
@@ -100,6 +102,7 @@
 		return f.recordFailure(ctx, err)
 	}
 	recoveredAt := f.recordSuccess()
+	f.recordVersion(version)
 	if version < f.version {
 		// Other instances have sent newer rows than this response holds.
 		return quickResponseDelay
@@ -155,11 +158,27 @@
 	if err != nil {
 		return f.recordFailure(ctx, err)
 	}
-	f.registrar.Replace(f.table, rows, version, f.recordSuccess())
+	recoveredAt := f.recordSuccess()
+	f.recordVersion(version)
+	f.registrar.Replace(f.table, rows, version, recoveredAt)
 	f.version, f.isLoaded = version, true
 	return f.delayAfterChange()
 }
 
+// recordVersion records the version of a response. One that is lower than the known one holds
+// nothing that is applied: other instances were faster, or the store has lost changes.
+func (f *follower) recordVersion(version uint64) {
+	known := f.registrar.Version(f.table)
+	isBehind := version < known
+	if isBehind {
+		f.registrar.staleResponseCount.Add(1)
+	}
+	if isBehind && !f.isBehind {
+		f.registrar.log.Info("the store's version is lower than the known one; its rows are ignored", "table", f.table, "version", version, "known", known)
+	}
+	f.isBehind = isBehind
+}
+
 // recordFailure records a failed call and returns the wait before the next step, with
 // exponential backoff and jitter.
 func (f *follower) recordFailure(ctx context.Context, err error) time.Duration {
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -61,7 +61,10 @@
 	// lastResponse is when the store last responded to this instance, by table.
 	lastResponse map[string]time.Time
 	// failureCount is the number of calls of this instance to the store that failed.
-	failureCount       atomic.Uint64
+	failureCount atomic.Uint64
+	// staleResponseCount is the number of responses of the store whose version was lower
+	// than the known one.
+	staleResponseCount atomic.Uint64
 	hasLeader          func(table string) bool
 	isLeader           func() bool
 	leaderWatchTimeout time.Duration
@@ -127,6 +130,10 @@
 // FailureCount returns the number of calls of this instance to the store that failed.
 func (r *Registrar) FailureCount() uint64 { return r.failureCount.Load() }
 
+// StaleResponseCount returns the number of responses of the store whose version was lower
+// than the known one, so that they changed nothing.
+func (r *Registrar) StaleResponseCount() uint64 { return r.staleResponseCount.Load() }
+
 // PendingRemovals returns the number of replicas that are kept for now though their row was
 // deleted.
 func (r *Registrar) PendingRemovals() int {
