Order the store's rows by its era before its version

Cause: rows were ordered by the store's version alone. A restored store gives its versions out again, so what was written after the restore was read and ignored as older, until the versions had passed those known before.

Change: the version of a row holds the era of the store too, which its responses state, and orders by it first, wherever it is kept or sent. A watch or an announcement that crosses eras leads to the whole table. What a copy lacks or has again is known not to be news: replicas and instances without a row are kept for a while, replicas that have left stay removed, and the plan does not go back.

--- a/internal/server/composer/membership.go
+++ b/internal/server/composer/membership.go
@@ -43,9 +43,12 @@
 	if i.isStopping.Load() || view.Version(registrar.TableInstances) == 0 {
 		return
 	}
-	for _, instance := range view.Instances() {
-		if instance.ID == i.self.ID && instance.StartMillis == i.self.StartMillis {
-			return
+	// The view keeps instances for a while whose rows a restored store has lost.
+	if i.registrar.HasRow(registrar.TableInstances, i.self.ID) {
+		for _, instance := range view.Instances() {
+			if instance.ID == i.self.ID && instance.StartMillis == i.self.StartMillis {
+				return
+			}
 		}
 	}
 	i.background.Go(i.register)
--- a/internal/server/gossiper/gossiper.go
+++ b/internal/server/gossiper/gossiper.go
@@ -173,8 +173,8 @@
 
 // pendingChange returns the change of a table to announce and records it as
 // announced. It returns nil if there is none or enough other instances announced it.
-// The rows are left out if they are too large or nothing was announced before. The
-// caller holds mu.
+// The rows are left out if they are too large, nothing was announced before, or the store
+// was restored since, as the rows do not show which others it has lost. The caller holds mu.
 func (g *Gossiper) pendingChange(name string, t *topic) *encoder.TableVersion {
 	version := g.tables.Version(name)
 	if version <= t.announcedVersion {
@@ -191,7 +191,7 @@
 		bytes += len(row.Name) + len(row.Value)
 		change.Rows = append(change.Rows, encodeRow(row))
 	}
-	if bytes > maxInlineBytes || after == 0 {
+	if bytes > maxInlineBytes || after == 0 || server.IsEarlierEra(after, version) {
 		change.BaseVersion, change.Rows = version, nil
 	}
 	return change
@@ -217,7 +217,7 @@
 	if t == nil || !g.recordAnnouncer(t, from, version) || knownVersion == 0 || knownVersion >= version {
 		return
 	}
-	if change.GetBaseVersion() < version {
+	if change.GetBaseVersion() < version && !server.IsEarlierEra(knownVersion, version) {
 		upToVersion := knownVersion
 		if change.GetBaseVersion() <= knownVersion {
 			upToVersion = version
--- a/internal/server/gossiper/leader_test.go
+++ b/internal/server/gossiper/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,6 +19,8 @@
 	mu      sync.Mutex
 	rows    []server.StoredRow
 	version uint64
+	// era rises when the store is restored from an older copy.
+	era     uint64
 	changed chan struct{}
 	calls   int
 	// unavailable holds the IDs of the instances whose calls hang until their context
@@ -45,6 +48,30 @@
 	s.changed = make(chan struct{})
 }
 
+// restore restores the store from a copy that was made at a version.
+func (s *fakeStore) restore(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version = version
+	s.rows = slices.DeleteFunc(s.rows, func(row server.StoredRow) bool { return row.Version > version })
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// values returns the values of the rows by name.
+func (s *fakeStore) values() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values := make(map[string]string)
+	for _, row := range s.rows {
+		if values[row.Name] = string(row.Value); row.IsDeleted {
+			delete(values, row.Name)
+		}
+	}
+	return values
+}
+
 // setUnavailable makes the calls of instances hang, or lets them through again.
 func (s *fakeStore) setUnavailable(ids []string, unavailable bool) {
 	s.mu.Lock()
@@ -84,15 +111,21 @@
 	end := time.After(wait)
 	for {
 		c.mu.Lock()
+		era, afterInEra := server.SplitVersion(after)
+		isRestored := wait > 0 && (era != c.era || afterInEra > c.version)
 		var rows []server.StoredRow
 		for _, row := range c.rows {
-			if row.Version > after {
+			if row.Version > afterInEra {
+				row.Version, _ = server.JoinVersion(c.era, row.Version)
 				rows = append(rows, row)
 			}
 		}
-		version, changed, unavailable, refused := c.version, c.changed, c.unavailable[c.id], c.refused[c.id]
+		version, _ := server.JoinVersion(c.era, c.version)
+		changed, unavailable, refused := c.changed, c.unavailable[c.id], c.refused[c.id]
 		c.mu.Unlock()
 		switch {
+		case isRestored && !refused && !unavailable:
+			return nil, 0, server.ErrNotFound
 		case refused:
 			return nil, 0, server.ErrUnavailable
 		case unavailable:
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return f.recordFailure(ctx, err)
 	}
-	recoveredAt := f.recordSuccess()
+	recoveredAt := f.recordSuccess(false)
 	f.recordVersion(version)
 	if version < f.version {
 		// Other instances have sent newer rows than this response holds.
@@ -158,7 +158,12 @@
 	if err != nil {
 		return f.recordFailure(ctx, err)
 	}
-	recoveredAt := f.recordSuccess()
+	known := f.registrar.Version(f.table)
+	wasRestored := f.version > 0 && server.IsEarlierEra(known, version)
+	if wasRestored {
+		f.registrar.log.Info("the store was restored from an older copy", "table", f.table, "version", version, "known", known)
+	}
+	recoveredAt := f.recordSuccess(wasRestored)
 	f.recordVersion(version)
 	f.registrar.Replace(f.table, rows, version, recoveredAt)
 	f.version, f.isLoaded = version, true
@@ -197,9 +202,10 @@
 }
 
 // recordSuccess records a response of the store and returns when the store last responded
-// to this instance after failed calls.
-func (f *follower) recordSuccess() (recoveredAt time.Time) {
-	recoveredAt = f.registrar.recordResponse(f.table, f.failures > 0)
+// to this instance after failed calls. The first response after a restore counts as one, since
+// replicas then write the rows again that the store has lost.
+func (f *follower) recordSuccess(wasRestored bool) (recoveredAt time.Time) {
+	recoveredAt = f.registrar.recordResponse(f.table, wasRestored || f.failures > 0)
 	if f.failures > 0 {
 		f.registrar.log.Info("store responds again", "table", f.table, "away_ms", f.registrar.timer.Now().Sub(f.failedSince).Milliseconds(), "failures", f.failures)
 	}
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -4,6 +4,7 @@
 package registrar
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"sync"
@@ -56,6 +57,10 @@
 	// stopRemovalTimer stops the timer for the next pending removal.
 	stopRemovalTimer func()
 	instances        map[string]server.Instance
+	// departed holds replicas that were removed; see departures.
+	departed departures
+	// planRow is the row of the active plan.
+	planRow server.StoredRow
 	// recoveredAt is when the store last responded to this instance after failed calls.
 	recoveredAt time.Time
 	// lastResponse is when the store last responded to this instance, by table.
@@ -188,6 +193,14 @@
 	return nil
 }
 
+// HasRow reports whether a table has a row, as far as this instance has read.
+func (r *Registrar) HasRow(table, name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.tables[table].rows[name]
+	return ok
+}
+
 // Rows returns all rows of a table and the version that they are known up to; ok is
 // false until the table was read.
 func (r *Registrar) Rows(name string) (rows []server.StoredRow, version uint64, ok bool) {
@@ -205,13 +218,19 @@
 func (r *Registrar) update(name string, recoveredAt time.Time, merge func(*table) []string) {
 	r.mu.Lock()
 	t := r.tables[name]
-	wasLoaded := t.isLoaded
+	wasLoaded, versionBefore := t.isLoaded, t.version
 	changedNames := merge(t)
 	if len(changedNames) > 0 {
 		t.recoveredAt = recoveredAt
 	}
+	isRestored := wasLoaded && server.IsEarlierEra(versionBefore, t.version)
 	for _, row := range changedNames {
-		r.applyRow(name, row, t)
+		if !isRestored || !r.isOutdated(name, row, t) {
+			r.applyRow(name, row, t)
+		}
+	}
+	if isRestored && name == TableInstances {
+		r.timer.After(restoredInstanceGrace, func(time.Time) { go r.removeUnlistedInstances() })
 	}
 	if len(changedNames) == 0 && t.isLoaded == wasLoaded {
 		r.mu.Unlock()
@@ -253,14 +272,20 @@
 		r.log.Error(err, "invalid plan ignored", "row", row.Name, "store_version", row.Version)
 		return
 	}
-	if r.plan != nil && plan.Version <= r.plan.Version {
+	if r.plan != nil && plan.Version <= r.plan.Version && !r.replacesPlan(plan, row) {
 		r.log.Info("plan is not newer than the one in force; ignored", "version", plan.Version, "in_force", r.plan.Version, "store_version", row.Version)
 		return
 	}
-	r.plan, r.router = plan, router.New(plan)
+	r.plan, r.planRow, r.router = plan, row, router.New(plan)
 	r.log.Info("plan in force", "version", plan.Version, "store_version", row.Version, "routes", len(plan.Routes), "workspaces", len(plan.Workspaces), "keys", countKeys(plan))
 }
 
+// replacesPlan reports whether a plan with the version of the active one replaces it: it was
+// written to a store that had lost the active one. The caller holds mu.
+func (r *Registrar) replacesPlan(plan *server.Plan, row server.StoredRow) bool {
+	return plan.Version == r.plan.Version && server.IsEarlierEra(r.planRow.Version, row.Version) && !bytes.Equal(r.planRow.Value, row.Value)
+}
+
 // countKeys returns the number of keys of all workspaces.
 func countKeys(plan *server.Plan) (count int) {
 	for i := range plan.Workspaces {
@@ -282,6 +307,10 @@
 		r.log.Info("older registration ignored", "replica", row.Name, "born", replica.StartMillis, "known", current.StartMillis, "seq", replica.Sequence)
 		return
 	}
+	if !exists && r.departed.hasDrained(replica) {
+		r.log.Info("registration of a replica that has left ignored", "replica", row.Name, "born", replica.StartMillis, "seq", replica.Sequence)
+		return
+	}
 	delete(r.pendingRemovals, row.Name)
 	r.replicas[row.Name] = replica
 	if !exists || current.IsDraining != replica.IsDraining || current.StartMillis != replica.StartMillis || current.Address != replica.Address {
@@ -314,8 +343,7 @@
 	}
 	now, removeAt := r.timer.Now(), recoveredAt.Add(recoveryGrace)
 	if !removeAt.After(now) || replica.IsDraining {
-		delete(r.replicas, id)
-		r.log.Info("replica removed", "replica", id, "service", replica.Service, "address", replica.Address)
+		r.dropReplica(replica)
 		return
 	}
 	r.pendingRemovals[id] = pendingRemoval{replica: replica, removeAt: removeAt}
@@ -323,6 +351,13 @@
 	r.scheduleRemovals(now)
 }
 
+// dropReplica removes a replica. The caller holds mu.
+func (r *Registrar) dropReplica(replica server.Replica) {
+	delete(r.replicas, replica.ID)
+	r.departed.add(replica)
+	r.log.Info("replica removed", "replica", replica.ID, "service", replica.Service, "address", replica.Address)
+}
+
 // scheduleRemovals sets the timer for the next pending removal. There is one timer for all
 // of them. The caller holds mu.
 func (r *Registrar) scheduleRemovals(now time.Time) {
@@ -351,8 +386,7 @@
 		}
 		removed++
 		delete(r.pendingRemovals, id)
-		delete(r.replicas, id)
-		r.log.Info("replica removed", "replica", id, "service", removal.replica.Service, "address", removal.replica.Address)
+		r.dropReplica(removal.replica)
 	}
 	r.scheduleRemovals(now)
 	if removed == 0 {
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -311,15 +311,17 @@
 type StoredRow struct {
 	Name  string
 	Value []byte
-	// Version increases with every change of the store.
+	// Version increases with every change of the store, also over restores of the store from
+	// an older copy. See JoinVersion.
 	Version   uint64
 	IsDeleted bool
 }
 
 // Store is the part of the platform's store API that instances use.
 //
-// Methods return ErrUnavailable. Watch also returns ErrNotFound if the history
-// does not reach back to after.
+// Versions are those that JoinVersion returns. Methods return ErrUnavailable. Watch also
+// returns ErrNotFound if the history does not reach back to after, or the store was
+// restored from a copy since; the table must then be loaded again.
 type Store interface {
 	// Load returns all rows of a table and the version of the store that they
 	// reflect.
