Read in responses that a replica is leaving

Cause: the header in which a replica states that it is leaving was read nowhere.

Change: the exchanger, which all requests, retries and stage calls pass through, reports such a response, and the registrar takes that incarnation of the replica out of service. The check right before a request is sent reads the same view. A row of the incarnation does not bring it back, a row of the next one does.

--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -112,7 +112,8 @@
 	i.gossiper = gossiper.New(log, timer, i.registrar, i.linker)
 	budget := budgeter.New(timer, settings.Bounds.RetryRatio, settings.Bounds.RetrySlack, settings.Bounds.RetryWindow, i.linker.MemberCount)
 	i.dialer = dialer.New(timer)
-	upstreamExchanger := exchanger.New(i.dialer, adapter.Codec, exchanger.WithServing(func(replica *server.Replica) bool { return i.registrar.View().IsServing(replica) }))
+	upstreamExchanger := exchanger.New(i.dialer, adapter.Codec, exchanger.WithServing(func(replica *server.Replica) bool { return i.registrar.View().IsServing(replica) }),
+		exchanger.WithLeavingHandler(i.registrar.RecordLeaving))
 	i.owner = batcher.NewOwner(log, timer, upstreamExchanger, budget)
 	i.submitter = batcher.NewSubmitter(log, timer, i.linker, i.owner)
 	i.chooser = chooser.New(timer)
--- a/internal/server/composer/counters.go
+++ b/internal/server/composer/counters.go
@@ -29,6 +29,9 @@
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_store_failures_total", Help: "Calls to the store that failed.",
 	}, i.registrar.FailureCount)
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_replicas_left_by_response_total", Help: "Replicas taken out of service since a response of theirs stated that they are leaving.",
+	}, i.registrar.LeavingCount)
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_store_stale_responses_total", Help: "Responses of the store with a version lower than the known one.",
 	}, i.registrar.StaleResponseCount)
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -23,6 +23,8 @@
 	codec  server.Codec
 	// isServing reports whether a replica may get new work.
 	isServing func(*server.Replica) bool
+	// onLeaving is called when a replica states in a response that it is leaving.
+	onLeaving func(*server.Replica)
 }
 
 // Option sets a property of an Exchanger.
@@ -34,9 +36,15 @@
 	return func(x *Exchanger) { x.isServing = isServing }
 }
 
+// WithLeavingHandler sets a function that is called for each response in which a replica
+// states that it is leaving. It may be called by several goroutines at once.
+func WithLeavingHandler(onLeaving func(*server.Replica)) Option {
+	return func(x *Exchanger) { x.onLeaving = onLeaving }
+}
+
 // New returns an Exchanger.
 func New(d *dialer.Dialer, codec server.Codec, options ...Option) *Exchanger {
-	x := &Exchanger{dialer: d, codec: codec, isServing: func(*server.Replica) bool { return true }}
+	x := &Exchanger{dialer: d, codec: codec, isServing: func(*server.Replica) bool { return true }, onLeaving: func(*server.Replica) {}}
 	for _, option := range options {
 		option(x)
 	}
@@ -183,10 +191,15 @@
 		}
 		return nil, server.SendStateUnknown, server.NewFault("exchange", replica.ID, err)
 	}
+	info := x.codec.ParseResponse(response.StatusCode, response.Header)
+	if info.IsLeaving && !info.IsMisdirected {
+		// A misdirected request was answered by another replica.
+		x.onLeaving(replica)
+	}
 	body := &endTracker{ReadCloser: response.Body}
 	response.Body = body
 	return &Answer{
-		Response: response, body: body, info: x.codec.ParseResponse(response.StatusCode, response.Header), conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach,
+		Response: response, body: body, info: info, conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach,
 	}, server.SendStateAnswered, nil
 }
 
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -51,9 +51,10 @@
 	plan     *server.Plan
 	router   *router.Router
 	replicas map[string]server.Replica
-	// pendingRemovals holds, by ID, the replicas that are kept for now though their row
-	// was deleted. They are in replicas too.
-	pendingRemovals map[string]pendingRemoval
+	// pendingRemovals holds, by ID, when the replicas are removed that are kept for now
+	// though their row was deleted, unless they are registered again. They are in replicas
+	// too.
+	pendingRemovals map[string]time.Time
 	// stopRemovalTimer stops the timer for the next pending removal.
 	stopRemovalTimer func()
 	instances        map[string]server.Instance
@@ -67,6 +68,8 @@
 	lastResponse map[string]time.Time
 	// failureCount is the number of calls of this instance to the store that failed.
 	failureCount atomic.Uint64
+	// leavingCount is the number of replicas that RecordLeaving has taken out of service.
+	leavingCount atomic.Uint64
 	// staleResponseCount is the number of responses of the store whose version was lower
 	// than the known one.
 	staleResponseCount atomic.Uint64
@@ -95,7 +98,7 @@
 	r := &Registrar{
 		log: log, timer: timer, decoder: decoder, tableNames: names, onChange: func(*View) {},
 		tables:   map[string]*table{names.Plan: newTable(), names.Replicas: newTable(), TableInstances: newTable()},
-		replicas: make(map[string]server.Replica), pendingRemovals: make(map[string]pendingRemoval),
+		replicas: make(map[string]server.Replica), pendingRemovals: make(map[string]time.Time),
 		instances: make(map[string]server.Instance), lastResponse: make(map[string]time.Time), stopRemovalTimer: func() {},
 		hasLeader: func(string) bool { return false }, isLeader: func() bool { return false },
 	}
@@ -139,6 +142,27 @@
 // than the known one, so that they changed nothing.
 func (r *Registrar) StaleResponseCount() uint64 { return r.staleResponseCount.Load() }
 
+// LeavingCount returns the number of replicas that left by what their responses stated.
+func (r *Registrar) LeavingCount() uint64 { return r.leavingCount.Load() }
+
+// RecordLeaving takes an incarnation of a replica out of service that has stated in a response
+// that it is leaving, whatever the store's row says. Its next incarnation serves again.
+func (r *Registrar) RecordLeaving(replica *server.Replica) {
+	r.mu.Lock()
+	current, exists := r.replicas[replica.ID]
+	if !exists || current.IsDraining || current.StartMillis != replica.StartMillis {
+		r.mu.Unlock()
+		return
+	}
+	current.IsDraining = true
+	r.replicas[replica.ID] = current
+	r.leavingCount.Add(1)
+	r.log.Info("replica stated in a response that it is leaving", "replica", replica.ID, "service", replica.Service, "address", replica.Address, "born", replica.StartMillis)
+	view := r.publish()
+	r.mu.Unlock()
+	r.onChange(view)
+}
+
 // PendingRemovals returns the number of replicas that are kept for now though their row was
 // deleted.
 func (r *Registrar) PendingRemovals() int {
@@ -346,7 +370,7 @@
 		r.dropReplica(replica)
 		return
 	}
-	r.pendingRemovals[id] = pendingRemoval{replica: replica, removeAt: removeAt}
+	r.pendingRemovals[id] = removeAt
 	r.log.Info("registration is missing after a failure of the store; replica kept for now", "replica", id, "service", replica.Service, "wait_ms", removeAt.Sub(now).Milliseconds())
 	r.scheduleRemovals(now)
 }
@@ -367,9 +391,9 @@
 		return
 	}
 	var next time.Time
-	for _, removal := range r.pendingRemovals {
-		if next.IsZero() || removal.removeAt.Before(next) {
-			next = removal.removeAt
+	for _, removeAt := range r.pendingRemovals {
+		if next.IsZero() || removeAt.Before(next) {
+			next = removeAt
 		}
 	}
 	r.stopRemovalTimer = r.timer.After(max(next.Sub(now), time.Millisecond), func(now time.Time) { go r.removeExpired(now) })
@@ -380,13 +404,13 @@
 func (r *Registrar) removeExpired(now time.Time) {
 	r.mu.Lock()
 	removed := 0
-	for id, removal := range r.pendingRemovals {
-		if now.Before(removal.removeAt) {
+	for id, removeAt := range r.pendingRemovals {
+		if now.Before(removeAt) {
 			continue
 		}
 		removed++
 		delete(r.pendingRemovals, id)
-		r.dropReplica(removal.replica)
+		r.dropReplica(r.replicas[id])
 	}
 	r.scheduleRemovals(now)
 	if removed == 0 {
--- a/internal/server/registrar/table.go
+++ b/internal/server/registrar/table.go
@@ -97,10 +97,3 @@
 	}
 	return rows
 }
-
-// pendingRemoval is a replica whose row was deleted but that is kept for a while.
-type pendingRemoval struct {
-	replica server.Replica
-	// removeAt is when the replica is removed unless it is registered again.
-	removeAt time.Time
-}
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -226,6 +226,8 @@
 	IsRefused bool
 	// IsMisdirected means that the address now belongs to another replica.
 	IsMisdirected bool
+	// IsLeaving means that the replica is leaving and wants no further requests.
+	IsLeaving bool
 	// IsSigned means that the response carries the signature of a completed run.
 	IsSigned bool
 	// IdleTimeout is the time for which the upstream keeps an idle connection open; zero
