State the shared parts of the prompt in the line of a failed attempt

The logs show which requests ended at a crashed engine, but not what they had in common, so they cannot tell whether the requests share a part (hypothesis A of the postmortem).

The line "attempt failed" now has the IDs of the first eight shared parts. No other behaviour changes.

--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -196,6 +196,16 @@
 	ResumedID string
 }
 
+// SharedParts returns the IDs of the parts of the prompt that other requests may have too: all
+// but the last one, which belongs to the request or its session.
+func (i *RequestInfo) SharedParts() []string {
+	var ids []string
+	for n := range max(len(i.PromptParts)-1, 0) {
+		ids = append(ids, i.PromptParts[n].ID)
+	}
+	return ids
+}
+
 // PromptPart is a part of a prompt that several requests may share.
 type PromptPart struct {
 	ID     string
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"oriolemill.example/oriolemill/internal/server"
@@ -29,6 +30,8 @@
 	writeTimeout = 5 * time.Second
 	// defaultMaxBodyBytes bounds a request body if the plan sets no limit.
 	defaultMaxBodyBytes = 4 << 20
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 8
 	// defaultClientTimeout applies if neither the client nor the route states a timeout;
 	// longer ones are shortened to it.
 	defaultClientTimeout = time.Minute
@@ -234,7 +237,7 @@
 	}
 	if outcome != attemptComplete && outcome != attemptDisconnected {
 		f.Log.Info("attempt failed", "request", f.info.ID, "route", f.route.Name, "service", f.service, "replica", replica.ID,
-			"version", replica.Version, "born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "framing", f.framing, "unfinished", len(f.events.remainder()), "took_ms", duration.Milliseconds(),
+			"version", replica.Version, "born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "framing", f.framing, "unfinished", len(f.events.remainder()), "parts", f.loggedParts(), "took_ms", duration.Milliseconds(),
 			"left_ms", f.remaining().Milliseconds(), "attempts", f.attemptCount, "tries", f.tryCount, "again", next == actionRetry || next == actionRecomputeInputs)
 	}
 	if outcome != attemptUnsent && outcome != attemptRefused && outcome != attemptMisdirected && outcome != attemptInputsLost {
@@ -243,6 +246,12 @@
 	return f.perform(next, d.status)
 }
 
+// loggedParts returns the IDs of the first shared parts of the prompt, for the log line.
+func (f *relayedRequest) loggedParts() string {
+	shared := f.info.SharedParts()
+	return strings.Join(shared[:min(len(shared), maxLoggedParts)], ",")
+}
+
 // perform executes an action and reports whether another attempt follows.
 func (f *relayedRequest) perform(next action, status int) bool {
 	switch next {
