Block the parts of prompts that crash replicas

Cause: a crash was charged to the replica only. Nothing remembered what the request held, so the next one with the same part went to the next replica, from whatever instance.

Change: instances report the shared parts of requests under which a replica ended to three others. After crashes of four incarnations, and after all others were asked whether they have completed requests with the part, it is blocked on all instances; the reports of requests that only ran beside it are explained by it and block nothing. Requests with a blocked part are refused on arrival, and withheld before each attempt. A restarted instance gets the blocks from the others.

TestFleetBlocksCrashingPartInTime has up to 85 instances, lost messages and restarts.

--- /dev/null
+++ b/internal/server/blocker/blocker.go
@@ -0,0 +1,395 @@
+// Package blocker finds the parts of prompts that crash replicas and blocks requests with them,
+// on all instances. Crashes are reported to a few instances, which compare them; before one of
+// these blocks a part, it asks all others whether they have completed requests with it.
+package blocker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+
+	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
+)
+
+const (
+	// holderName is the name whose holders crashes are reported to; all instances prefer the
+	// same ones. holderCount is their number.
+	holderName  = "prompt parts"
+	holderCount = 3
+	// settleDelay is the wait between a suspicion and the query, in which the reports of other
+	// instances about the same crashes arrive.
+	settleDelay = 200 * time.Millisecond
+	// askTimeout bounds the wait for the responses to a query.
+	askTimeout = 400 * time.Millisecond
+	// sendTimeout bounds the sending of a message to another instance.
+	sendTimeout = time.Second
+	// spreadInterval is how often an instance sends its blocks to spreadCount others, chosen
+	// at random, for those that were restarted or cut off.
+	spreadInterval = time.Second
+	spreadCount    = 2
+)
+
+// Links carries messages to other instances. It is safe for concurrent use.
+type Links interface {
+	// HolderIDs returns the IDs of up to count other instances that respond. All instances
+	// prefer the same ones for a name.
+	HolderIDs(name string, count int) []string
+	// Send sends a frame that has no response.
+	Send(ctx context.Context, id string, frame *encoder.Frame) error
+	// Ask sends a frame and returns the response.
+	Ask(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error)
+}
+
+// Blocker implements server.PromptBlocker. It is safe for concurrent use.
+type Blocker struct {
+	log    logr.Logger
+	timer  server.Timer
+	links  Links
+	ctx    context.Context
+	cancel context.CancelFunc
+	// messages are the goroutines that send and wait for messages.
+	messages   sync.WaitGroup
+	stopSpread func()
+	crashCount atomic.Uint64
+	// blockedCount is the number of requests that were found to be blocked.
+	blockedCount atomic.Uint64
+	// blockCount is the number of entries of blocks, so that requests need no lock while
+	// nothing is blocked.
+	blockCount atomic.Int64
+	// mu guards the fields below.
+	mu       sync.Mutex
+	evidence *evidence
+	blocks   blocks
+	// isInquiring is set while a query is scheduled or in progress.
+	isInquiring bool
+}
+
+// New returns a Blocker. Close must be called once.
+func New(log logr.Logger, timer server.Timer, links Links) *Blocker {
+	b := &Blocker{log: log, timer: timer, links: links, evidence: newEvidence(), blocks: make(blocks)}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	b.stopSpread = timer.Every(spreadInterval, func(now time.Time) { b.spread(now) })
+	return b
+}
+
+// Close ends the messages in progress.
+func (b *Blocker) Close() {
+	b.stopSpread()
+	b.mu.Lock()
+	b.cancel()
+	b.mu.Unlock()
+	b.messages.Wait()
+}
+
+// Counts returns how many attempts ended with a crash here, how many requests were blocked, and
+// how many parts are blocked now.
+func (b *Blocker) Counts() (crashes, requests uint64, parts int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.timer.Now()
+	for part := range b.blocks {
+		if _, ok := b.blocks.isBlocked(part, now); ok {
+			parts++
+		}
+	}
+	return b.crashCount.Load(), b.blockedCount.Load(), parts
+}
+
+// start calls work in its own goroutine, unless Close was called. The caller must not hold mu.
+func (b *Blocker) start(work func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ctx.Err() == nil {
+		b.messages.Go(work)
+	}
+}
+
+// partKeys returns the names of parts in the tables, of which each has a bounded length.
+func partKeys(parts []string) []string {
+	keys := make([]string, min(len(parts), maxParts))
+	for i := range keys {
+		if keys[i] = parts[i]; len(parts[i]) > maxPartBytes {
+			keys[i] = fmt.Sprintf("hash:%016x", xxhash.Sum64String(parts[i]))
+		}
+	}
+	return keys
+}
+
+// BlockedFor implements server.PromptBlocker.
+func (b *Blocker) BlockedFor(parts []string) (wait time.Duration, part string) {
+	if b.blockCount.Load() == 0 || len(parts) == 0 {
+		return 0, ""
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.timer.Now()
+	for _, key := range partKeys(parts) {
+		if until, ok := b.blocks.isBlocked(key, now); ok && until.Sub(now) > wait {
+			wait, part = until.Sub(now), key
+		}
+	}
+	if wait > 0 {
+		b.blockedCount.Add(1)
+	}
+	return wait, part
+}
+
+// RecordCompletion implements server.PromptBlocker.
+func (b *Blocker) RecordCompletion(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.timer.Now()
+	for _, key := range partKeys(parts) {
+		b.evidence.addCompletion(key, now)
+		if b.unblock(key, now) {
+			b.publishCompletion(key, now, now)
+		}
+	}
+}
+
+// RecordCrash implements server.PromptBlocker. It does not wait for the reports to other
+// instances.
+func (b *Blocker) RecordCrash(replica *server.Replica, parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	b.crashCount.Add(1)
+	incarnation, keys := fmt.Sprintf("%s/%d", replica.ID, replica.StartMillis), partKeys(parts)
+	b.addCrash(incarnation, keys, b.timer.Now())
+	for _, id := range b.links.HolderIDs(holderName, holderCount) {
+		b.send(id, &encoder.PromptParts{Incarnation: incarnation, CrashedParts: keys})
+	}
+}
+
+// HandleMessage handles the message of another instance and returns the response to a query, or
+// nil for a message that has none.
+func (b *Blocker) HandleMessage(message *encoder.PromptParts) *encoder.Frame {
+	now := b.timer.Now()
+	if parts := message.GetCrashedParts(); len(parts) > 0 {
+		b.addCrash(message.GetIncarnation(), partKeys(parts), now)
+	}
+	b.addCompletions(message.GetCompletions(), now)
+	b.addBlocks(message.GetBlocks(), now)
+	if parts := message.GetQueriedParts(); len(parts) > 0 {
+		return &encoder.Frame{Body: &encoder.Frame_PromptParts{PromptParts: &encoder.PromptParts{Completions: b.completionsOf(parts, now)}}}
+	}
+	return nil
+}
+
+// completionsOf returns when requests with the parts were last completed here.
+func (b *Blocker) completionsOf(parts []string, now time.Time) []*encoder.PartCompletion {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []*encoder.PartCompletion
+	for _, key := range partKeys(parts) {
+		if at, ok := b.evidence.completions.find(key); ok {
+			list = append(list, &encoder.PartCompletion{Part: key, AgeMs: uint32(max(now.Sub(at).Milliseconds(), 0))})
+		}
+	}
+	return list
+}
+
+// addCrash adds a crash to the evidence, and schedules a query if a part is suspected now.
+func (b *Blocker) addCrash(incarnation string, keys []string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, key := range keys {
+		if _, ok := b.blocks.isBlocked(key, now); ok {
+			// Sent before the part was blocked.
+			b.evidence.explained.add(incarnation, now)
+			return
+		}
+	}
+	b.evidence.addCrash(incarnation, keys, now)
+	for _, key := range keys {
+		if b.blocks.isOnProbation(key, now) && len(b.evidence.counted(key, now)) > 0 {
+			b.beginBlock(key, now)
+			return
+		}
+	}
+	if b.isInquiring || b.ctx.Err() != nil || len(b.evidence.suspects(now)) == 0 {
+		return
+	}
+	b.isInquiring = true
+	b.messages.Go(b.inquire)
+}
+
+// inquire asks all other instances whether they have completed requests with the suspected
+// parts, and blocks the parts that remain suspected.
+func (b *Blocker) inquire() {
+	isStopped := server.Sleep(b.ctx, b.timer, settleDelay) != nil
+	b.mu.Lock()
+	parts := b.evidence.suspects(b.timer.Now())
+	b.mu.Unlock()
+	if !isStopped && len(parts) > 0 {
+		b.addCompletions(b.askAll(parts), b.timer.Now())
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isInquiring = false
+	if isStopped {
+		return
+	}
+	now := b.timer.Now()
+	for _, part := range b.evidence.convict(now) {
+		b.beginBlock(part, now)
+	}
+}
+
+// askAll sends a query to all other instances and returns the completions that they know.
+func (b *Blocker) askAll(parts []string) []*encoder.PartCompletion {
+	ids := b.links.HolderIDs(holderName, maxBlocks)
+	ctx, cancel := context.WithTimeout(b.ctx, askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var list []*encoder.PartCompletion
+	var queries sync.WaitGroup
+	for _, id := range ids {
+		queries.Go(func() {
+			frame := &encoder.Frame{Body: &encoder.Frame_PromptParts{PromptParts: &encoder.PromptParts{QueriedParts: parts}}}
+			// An instance that does not respond is asked for nothing more: a part that crashes
+			// replicas must be blocked though instances are down.
+			response, _ := b.links.Ask(ctx, id, frame)
+			mu.Lock()
+			defer mu.Unlock()
+			list = append(list, response.GetPromptParts().GetCompletions()...)
+		})
+	}
+	queries.Wait()
+	return list
+}
+
+// addCompletions adds what other instances have completed to the evidence, and ends the blocks
+// that it refutes.
+func (b *Blocker) addCompletions(list []*encoder.PartCompletion, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range list {
+		at := now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)
+		b.evidence.addCompletion(c.GetPart(), at)
+		b.unblock(c.GetPart(), at)
+	}
+}
+
+// unblock ends the block of a part with which a request was completed at a time, unless that
+// was before the crashes that the block is due to. It reports whether there was one. The caller
+// holds mu.
+func (b *Blocker) unblock(part string, completedAt time.Time) bool {
+	current, ok := b.blocks[part]
+	if !ok || !completedAt.After(current.since) {
+		return false
+	}
+	delete(b.blocks, part)
+	b.blockCount.Store(int64(len(b.blocks)))
+	b.log.Info("part of prompts not blocked any more: a request with it was completed", "part", part)
+	return true
+}
+
+// publishCompletion tells all other instances when a request with a part was completed, which
+// refutes its block. The caller holds mu.
+func (b *Blocker) publishCompletion(part string, completedAt, now time.Time) {
+	if b.ctx.Err() != nil {
+		return
+	}
+	message := &encoder.PromptParts{Completions: []*encoder.PartCompletion{{Part: part, AgeMs: uint32(max(now.Sub(completedAt).Milliseconds(), 0))}}}
+	for _, id := range b.links.HolderIDs(holderName, maxBlocks) {
+		b.messages.Go(func() { b.deliver(id, message) })
+	}
+}
+
+// beginBlock blocks a part here and on all other instances. The caller holds mu.
+func (b *Blocker) beginBlock(part string, now time.Time) {
+	since := now
+	if list := b.evidence.counted(part, now); len(list) > 0 {
+		since = list[0].at
+	}
+	added := b.blocks.next(part, since, now)
+	b.evidence.explain(part)
+	if !b.blocks.set(part, added, now) {
+		return
+	}
+	b.blockCount.Store(int64(len(b.blocks)))
+	b.log.Info("part of prompts blocked: replicas crashed under requests with it", "part", part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
+	message := &encoder.PromptParts{Blocks: []*encoder.PartBlock{encodeBlock(part, added, now)}}
+	for _, id := range b.links.HolderIDs(holderName, maxBlocks) {
+		b.messages.Go(func() { b.deliver(id, message) })
+	}
+}
+
+// addBlocks adds the blocks of another instance. It refutes those of parts with which this
+// instance has completed requests since.
+func (b *Blocker) addBlocks(list []*encoder.PartBlock, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, message := range list {
+		part, added := message.GetPart(), decodeBlock(message, now)
+		if completedAt, ok := b.evidence.completions.find(part); ok && completedAt.After(added.since) {
+			b.publishCompletion(part, completedAt, now)
+			continue
+		}
+		if b.blocks.set(part, added, now) {
+			b.evidence.explain(part)
+			b.log.Info("part of prompts blocked by another instance", "part", part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
+		}
+	}
+	b.blockCount.Store(int64(len(b.blocks)))
+}
+
+// spread sends the blocks to some other instances, chosen at random.
+func (b *Blocker) spread(now time.Time) {
+	if b.blockCount.Load() == 0 {
+		return
+	}
+	b.mu.Lock()
+	b.blocks.dropExpired(now)
+	b.blockCount.Store(int64(len(b.blocks)))
+	message := &encoder.PromptParts{}
+	for part, current := range b.blocks {
+		message.Blocks = append(message.Blocks, encodeBlock(part, current, now))
+	}
+	b.mu.Unlock()
+	ids := b.links.HolderIDs(holderName, maxBlocks)
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids[:min(len(ids), spreadCount)] {
+		b.send(id, message)
+	}
+}
+
+// send sends a message to another instance in its own goroutine.
+func (b *Blocker) send(id string, message *encoder.PromptParts) {
+	b.start(func() { b.deliver(id, message) })
+}
+
+// deliver sends a message to another instance.
+func (b *Blocker) deliver(id string, message *encoder.PromptParts) {
+	ctx, cancel := context.WithTimeout(b.ctx, sendTimeout)
+	defer cancel()
+	// Sending changes a frame, so each message has its own. What is lost is sent again by
+	// spread, or reported by other instances.
+	_ = b.links.Send(ctx, id, &encoder.Frame{Body: &encoder.Frame_PromptParts{PromptParts: message}})
+}
+
+// encodeBlock returns the message with a block. Times are sent as the time left and ages, since
+// clocks differ.
+func encodeBlock(part string, current block, now time.Time) *encoder.PartBlock {
+	return &encoder.PartBlock{
+		Part: part, LeftMs: current.until.Sub(now).Milliseconds(), AgeMs: now.Sub(current.since).Milliseconds(), Times: uint32(current.times),
+	}
+}
+
+func decodeBlock(message *encoder.PartBlock, now time.Time) block {
+	return block{
+		until: now.Add(min(time.Duration(message.GetLeftMs())*time.Millisecond, maxBlockDuration)),
+		since: now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond), times: int(message.GetTimes()),
+	}
+}
--- /dev/null
+++ b/internal/server/blocker/blocker_test.go
@@ -0,0 +1,231 @@
+package blocker_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/blocker"
+	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
+	"oriolemill.example/oriolemill/internal/server/ticker"
+)
+
+// Targets: later than maxLearnDelay after the fifth crash at most maxLateRequests with the part
+// reach replicas, over all instances.
+const (
+	maxLearnDelay   = 3 * time.Second
+	maxLateRequests = 3
+	allowedCrashes  = 5
+	linkDelay       = 5 * time.Millisecond
+)
+
+// fleet is many instances whose messages take linkDelay, or are lost.
+type fleet struct {
+	timer  *ticker.Ticker
+	mu     sync.Mutex
+	random *rand.Rand
+	// lossShare is the part of the messages that is lost.
+	lossShare float64
+	members   []*member
+}
+
+// member is one instance of a fleet. It implements blocker.Links.
+type member struct {
+	*blocker.Blocker
+	fleet *fleet
+	id    string
+	isCut bool
+}
+
+func newFleet(count int, seed uint64) *fleet {
+	f := &fleet{timer: ticker.New(), random: rand.New(rand.NewPCG(seed, 1))}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range count {
+		f.members = append(f.members, f.newMember(fmt.Sprint("i-", i)))
+	}
+	return f
+}
+
+func (f *fleet) newMember(id string) *member {
+	m := &member{fleet: f, id: id}
+	m.Blocker = blocker.New(logr.Discard(), f.timer, m)
+	return m
+}
+
+// restart replaces an instance by one that knows nothing.
+func (f *fleet) restart(i int) {
+	f.members[i].Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members[i] = f.newMember(f.members[i].id)
+}
+
+func (f *fleet) stop() {
+	for _, m := range f.members {
+		m.Close()
+	}
+	f.timer.Close()
+}
+
+func (f *fleet) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
+// HolderIDs implements blocker.Links.
+func (m *member) HolderIDs(_ string, count int) []string {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	var ids []string
+	for _, other := range m.fleet.members {
+		if other.id != m.id {
+			ids = append(ids, other.id)
+		}
+	}
+	return ids[:min(count, len(ids))]
+}
+
+// Send implements blocker.Links.
+func (m *member) Send(ctx context.Context, id string, frame *encoder.Frame) error {
+	_, err := m.Ask(ctx, id, frame)
+	return err
+}
+
+// Ask implements blocker.Links.
+func (m *member) Ask(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error) {
+	if err := server.Sleep(ctx, m.fleet.timer, linkDelay); err != nil {
+		return nil, err
+	}
+	m.fleet.mu.Lock()
+	index := slices.IndexFunc(m.fleet.members, func(other *member) bool { return other.id == id })
+	other := m.fleet.members[index]
+	isLost := m.isCut || other.isCut || m.fleet.random.Float64() < m.fleet.lossShare
+	m.fleet.mu.Unlock()
+	if isLost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	// As in the real program, the receiver has a copy.
+	return other.HandleMessage(proto.CloneOf(frame).GetPromptParts()), nil
+}
+
+// engines counts the requests with a part that crashes its replica.
+type engines struct {
+	crashedAt []time.Time
+	born      map[int]int64
+}
+
+// send sends a request with parts at an instance, to a random replica, and reports whether it
+// was not blocked.
+func (f *fleet) send(e *engines, m *member, parts []string, crashes bool) bool {
+	if wait, _ := m.BlockedFor(parts); wait > 0 {
+		return false
+	}
+	replica := f.intN(18)
+	if crashes {
+		e.crashedAt = append(e.crashedAt, time.Now())
+		m.RecordCrash(&server.Replica{ID: fmt.Sprint("r-", replica), StartMillis: e.born[replica]}, parts)
+		// Another request that ran there, at any instance.
+		victim := f.members[f.intN(len(f.members))]
+		victim.RecordCrash(&server.Replica{ID: fmt.Sprint("r-", replica), StartMillis: e.born[replica]}, []string{"first", fmt.Sprint("doc", f.intN(20))})
+		e.born[replica]++
+		return true
+	}
+	m.RecordCompletion(parts)
+	return true
+}
+
+func (e *engines) late() (count int) {
+	if len(e.crashedAt) < allowedCrashes {
+		return 0
+	}
+	for _, at := range e.crashedAt {
+		if at.Sub(e.crashedAt[allowedCrashes-1]) > maxLearnDelay {
+			count++
+		}
+	}
+	return count
+}
+
+// TestFleetBlocksCrashingPartInTime guards against instances that each learn by themselves that a
+// part crashes replicas: requests arrive at any of up to 85, messages are lost, and instances
+// are restarted and cut off from the others.
+func TestFleetBlocksCrashingPartInTime(t *testing.T) {
+	for seed := range uint64(24) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			count := []int{1, 2, 3, 9, 40, 85}[seed%6]
+			f := newFleet(count, seed)
+			defer f.stop()
+			f.lossShare = 0.1 * float64(seed%3)
+			e := &engines{born: make(map[int]int64)}
+			sound, served := 0, 0
+			for i := range 600 {
+				time.Sleep(time.Duration(5+f.intN(40)) * time.Millisecond)
+				m := f.members[f.intN(count)]
+				doc := fmt.Sprint("doc", f.intN(20))
+				if i%6 == 5 {
+					f.send(e, m, []string{"first", doc, "bad"}, true)
+					continue
+				}
+				sound++
+				if f.send(e, m, []string{"first", doc}, false) {
+					served++
+				}
+				if count > 3 && i%150 == 100 {
+					f.restart(f.intN(count))
+					time.Sleep(maxLearnDelay) // it is not in touch before
+				}
+			}
+			is.True(len(e.crashedAt) >= allowedCrashes-1)
+			if late := e.late(); late > maxLateRequests {
+				t.Errorf("seed %d: %d late requests of %d at %d instances", seed, late, len(e.crashedAt), count)
+			}
+			if served < sound*9/10 {
+				t.Errorf("seed %d: %d of %d other requests were not blocked", seed, served, sound)
+			}
+		})
+	}
+}
+
+// TestBlockOfACutOffInstanceIsRejected guards against the block of a part that the others serve,
+// by an instance that could not ask them.
+func TestBlockOfACutOffInstanceIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(9, 1)
+		defer f.stop()
+		f.members[8].isCut = true
+		for i := range 6 {
+			f.members[8].RecordCrash(&server.Replica{ID: fmt.Sprint("r-", i)}, []string{"a"})
+			for _, m := range f.members[:8] {
+				m.RecordCompletion([]string{"a"})
+			}
+			time.Sleep(time.Second)
+		}
+		isBlocked := func(m *member) bool {
+			wait, _ := m.BlockedFor([]string{"a"})
+			return wait > 0
+		}
+		is.True(isBlocked(f.members[8])) // as far as it knows
+		f.mu.Lock()
+		f.members[8].isCut = false
+		f.mu.Unlock()
+		time.Sleep(2 * maxLearnDelay)
+		for _, m := range f.members {
+			is.True(!isBlocked(m))
+		}
+	})
+}
--- /dev/null
+++ b/internal/server/blocker/evidence.go
@@ -0,0 +1,168 @@
+package blocker
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// minCrashes is the number of incarnations of replicas that must have crashed under
+	// requests with a part until it is blocked.
+	minCrashes = 4
+	// completionMargin is how long before the first of these crashes no request with the part
+	// may have been completed, so that many crashes at one moment, for another reason, prove
+	// nothing against a part that other replicas serve.
+	completionMargin = 2 * time.Second
+	// crashMaxAge is the age from which a crash does not count any more.
+	crashMaxAge = 10 * time.Minute
+	// The bounds of the memory that an evidence uses. Beyond them the oldest are dropped.
+	maxSuspects       = 4096
+	maxCrashesPerPart = 16
+	maxCompletions    = 8192
+	maxExplained      = 4096
+	maxPartBytes      = 64
+	maxParts          = 256
+)
+
+// crash is the end of an incarnation of a replica while it ran a request.
+type crash struct {
+	incarnation string
+	at          time.Time
+}
+
+// evidence is what is known for and against the parts of prompts. It uses no clock and is not
+// safe for concurrent use.
+type evidence struct {
+	// crashes holds, by part, the crashes under requests with the part.
+	crashes map[string][]crash
+	// completions holds, by part, when a request with the part was last completed.
+	completions recentTimes
+	// explained holds the incarnations that crashed under requests with a part that was
+	// blocked. They count against no other part.
+	explained recentTimes
+}
+
+func newEvidence() *evidence {
+	return &evidence{
+		crashes: make(map[string][]crash), completions: recentTimes{limit: maxCompletions}, explained: recentTimes{limit: maxExplained},
+	}
+}
+
+// addCrash records that an incarnation crashed under a request with the parts.
+func (e *evidence) addCrash(incarnation string, parts []string, at time.Time) {
+	for _, part := range parts {
+		known := e.crashes[part]
+		if slices.ContainsFunc(known, func(c crash) bool { return c.incarnation == incarnation }) {
+			continue
+		}
+		if known == nil && len(e.crashes) >= maxSuspects {
+			e.dropOldestSuspect()
+		}
+		known = append(known, crash{incarnation: incarnation, at: at})
+		slices.SortFunc(known, func(a, b crash) int { return a.at.Compare(b.at) })
+		e.crashes[part] = known[max(0, len(known)-maxCrashesPerPart):]
+	}
+}
+
+// dropOldestSuspect drops the part whose last crash is the oldest.
+func (e *evidence) dropOldestSuspect() {
+	oldest, oldestAt := "", time.Time{}
+	for part, list := range e.crashes {
+		if at := list[len(list)-1].at; oldest == "" || at.Before(oldestAt) {
+			oldest, oldestAt = part, at
+		}
+	}
+	delete(e.crashes, oldest)
+}
+
+// addCompletion records that a request with the part was completed.
+func (e *evidence) addCompletion(part string, at time.Time) { e.completions.add(part, at) }
+
+// counted returns the crashes that count against a part.
+func (e *evidence) counted(part string, now time.Time) []crash {
+	var list []crash
+	completedAt, hasCompleted := e.completions.find(part)
+	for _, c := range e.crashes[part] {
+		_, isExplained := e.explained.find(c.incarnation)
+		isExonerated := hasCompleted && !c.at.After(completedAt.Add(completionMargin))
+		if !isExplained && !isExonerated && now.Sub(c.at) < crashMaxAge {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// suspects returns the parts against which enough crashes count.
+func (e *evidence) suspects(now time.Time) []string {
+	var parts []string
+	for part := range e.crashes {
+		if len(e.counted(part, now)) >= minCrashes {
+			parts = append(parts, part)
+		}
+	}
+	slices.Sort(parts)
+	return parts
+}
+
+// convict returns the parts to block and counts their crashes against no other part. Of
+// several suspects that share crashes, the one with the most explains those of the others;
+// with as many, a part with which no request was completed goes before one that has been.
+func (e *evidence) convict(now time.Time) []string {
+	var convicted []string
+	for {
+		var worst []string
+		most := 0
+		for _, part := range e.suspects(now) {
+			score := 2 * len(e.counted(part, now))
+			if _, hasCompleted := e.completions.find(part); !hasCompleted {
+				score++
+			}
+			if score > most {
+				worst, most = nil, score
+			}
+			if score == most {
+				worst = append(worst, part)
+			}
+		}
+		if len(worst) == 0 {
+			return convicted
+		}
+		convicted = append(convicted, worst...)
+		for _, part := range worst {
+			e.explain(part)
+		}
+	}
+}
+
+// explain counts the crashes under a part that is blocked against no other part.
+func (e *evidence) explain(part string) {
+	for _, c := range e.crashes[part] {
+		e.explained.add(c.incarnation, c.at)
+	}
+	delete(e.crashes, part)
+}
+
+// recentTimes holds the latest times of up to twice limit names. The older half is dropped when
+// the newer one is full.
+type recentTimes struct {
+	limit        int
+	newer, older map[string]time.Time
+}
+
+func (t *recentTimes) add(name string, at time.Time) {
+	if known, ok := t.find(name); ok && known.After(at) {
+		at = known
+	}
+	if t.newer == nil || len(t.newer) >= t.limit {
+		t.newer, t.older = make(map[string]time.Time), t.newer
+	}
+	t.newer[name] = at
+}
+
+func (t *recentTimes) find(name string) (time.Time, bool) {
+	if at, ok := t.newer[name]; ok {
+		return at, true
+	}
+	at, ok := t.older[name]
+	return at, ok
+}
--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -19,6 +19,7 @@
 
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/batcher"
+	"oriolemill.example/oriolemill/internal/server/blocker"
 	"oriolemill.example/oriolemill/internal/server/budgeter"
 	"oriolemill.example/oriolemill/internal/server/chooser"
 	"oriolemill.example/oriolemill/internal/server/dialer"
@@ -64,6 +65,7 @@
 	owner             *batcher.Owner
 	submitter         *batcher.Submitter
 	pinner            *pinner.Pinner
+	blocker           *blocker.Blocker
 	chooser           *chooser.Chooser
 	dialer            *dialer.Dialer
 	relayer           *relayer.Relayer
@@ -118,9 +120,10 @@
 	i.submitter = batcher.NewSubmitter(log, timer, i.linker, i.owner)
 	i.chooser = chooser.New(timer)
 	i.pinner = pinner.New(timer, i.linker)
+	i.blocker = blocker.New(log, timer, i.linker)
 	i.relayer = relayer.New(relayer.Dependencies{
 		Log: log, Timer: timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
-		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, Meter: i.meter,
+		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, PromptBlocker: i.blocker, Meter: i.meter,
 	})
 	i.fronter = fronter.New(log, listeners.clients, i.relayer)
 	i.registerCounters()
--- a/internal/server/composer/membership.go
+++ b/internal/server/composer/membership.go
@@ -115,6 +115,8 @@
 		i.pinner.HandleOrigin(body.StreamOrigin)
 	case *encoder.Frame_OriginRequest:
 		return i.pinner.HandleRequest(body.OriginRequest)
+	case *encoder.Frame_PromptParts:
+		return i.blocker.HandleMessage(body.PromptParts)
 	case *encoder.Frame_Leaving:
 		i.linker.HandleLeaving(from)
 	}
--- a/internal/server/composer/stop.go
+++ b/internal/server/composer/stop.go
@@ -90,6 +90,7 @@
 	i.owner.Stop()
 	i.gossiper.Stop()
 	i.pinner.Close()
+	i.blocker.Close()
 	i.linker.Stop()
 	i.dialer.Close()
 	i.background.Wait()
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -158,6 +158,19 @@
 	Find(ctx context.Context, attempt string) (origin StreamOrigin, ok bool)
 }
 
+// PromptBlocker knows the parts of prompts that crash replicas, from all instances. It must be
+// safe for concurrent use.
+type PromptBlocker interface {
+	// BlockedFor returns for how long requests with one of the parts must not be sent to
+	// replicas, and that part; zero if none is blocked.
+	BlockedFor(parts []string) (wait time.Duration, part string)
+	// RecordCrash records that a replica ended a request with the parts without a response,
+	// or within it.
+	RecordCrash(replica *Replica, parts []string)
+	// RecordCompletion records that a replica completed a request with the parts.
+	RecordCompletion(parts []string)
+}
+
 // Instance is a process of the deployment, as its row in the store describes it.
 type Instance struct {
 	ID         string `json:"id"`
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -50,6 +50,7 @@
 	Budget        server.RetryBudget
 	WaitEstimator WaitEstimator
 	Origins       server.StreamOrigins
+	PromptBlocker server.PromptBlocker
 	Meter         Meter
 }
 
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -91,6 +91,8 @@
 	// responseStarted is set once the header of the response was written.
 	responseStarted bool
 	events          eventSplitter
+	// sharedParts are the IDs of the parts of the prompt that other requests may have too.
+	sharedParts []string
 	// shouldAbort is set if the connection must be closed without completing the
 	// response.
 	shouldAbort bool
@@ -131,7 +133,7 @@
 			f.results.Release()
 		}
 	}()
-	if !f.resolveRoute() || !f.readBody() || !f.checkClient() || !f.findOrigin() || !f.admit() || !f.computeStages() {
+	if !f.resolveRoute() || !f.readBody() || !f.checkClient() || !f.findOrigin() || !f.checkPrompt() || !f.admit() || !f.computeStages() {
 		return
 	}
 	for f.attempt() {
@@ -148,6 +150,7 @@
 	if f.info, err = f.Codec.ParseRequest(f.r.Header); err != nil {
 		return f.reject(http.StatusBadRequest, err.Error())
 	}
+	f.sharedParts = f.info.SharedParts()
 	routes := f.view.Router()
 	if f.route = routes.Route(f.r.Host, f.r.URL.Path); f.route == nil {
 		return f.reject(http.StatusNotFound, "no route for the host and path")
@@ -203,6 +206,9 @@
 
 // attempt sends the request to one replica and reports whether another attempt follows.
 func (f *relayedRequest) attempt() bool {
+	if !f.checkPrompt() {
+		return false
+	}
 	replica, ok := f.nextReplica()
 	if !ok {
 		f.endWithoutReplica()
@@ -214,6 +220,7 @@
 	outcome := f.send(&replica)
 	duration := f.Timer.Now().Sub(startedAt)
 	f.Meter.RecordAttempt(f.service, outcome.String(), string(f.framing), duration)
+	f.recordPrompt(outcome, &replica)
 	return f.handleAttempt(outcome, &replica, duration)
 }
 
@@ -248,8 +255,7 @@
 
 // loggedParts returns the IDs of the first shared parts of the prompt, for the log line.
 func (f *relayedRequest) loggedParts() string {
-	shared := f.info.SharedParts()
-	return strings.Join(shared[:min(len(shared), maxLoggedParts)], ",")
+	return strings.Join(f.sharedParts[:min(len(f.sharedParts), maxLoggedParts)], ",")
 }
 
 // perform executes an action and reports whether another attempt follows.
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -96,6 +96,9 @@
 	case !f.View().IsServing(replica):
 		return server.ErrLeaving
 	}
+	if wait, _ := f.PromptBlocker.BlockedFor(f.sharedParts); wait > 0 {
+		return errBlocked
+	}
 	return context.Cause(f.ctx)
 }
 
