Block prompts that crash engines on the path of pipelines

Found by looking for the same cause elsewhere.

Change: the runner uses the same blocker. Its parts are prefixes of the prompt by the hashes of its blocks. Requests are withheld before each attempt and right before the first byte; a lost connection is told from an error response (server.ErrConnectionLost). Messages travel over the peer links, so queries and their responses are messages of their own now.

--- a/internal/messenger/block.go
+++ b/internal/messenger/block.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -41,3 +42,24 @@
 	}
 	return blocks
 }
+
+const (
+	// allSharedBlocks is the number of blocks from the start of a prompt that SharedParts
+	// returns all of. Of those after them it returns each sharedBlockStep-th one, up to
+	// maxSharedBlocks.
+	allSharedBlocks = 32
+	sharedBlockStep = 8
+	maxSharedBlocks = 1024
+)
+
+// SharedParts returns the names of parts of a prompt that other requests may have too: prefixes
+// by the hashes of their last blocks. The last block of the prompt belongs to its request.
+func SharedParts(blocks []uint64) []string {
+	var parts []string
+	for i := range min(len(blocks)-1, maxSharedBlocks) {
+		if i < allSharedBlocks || i%sharedBlockStep == 0 {
+			parts = append(parts, strconv.FormatUint(blocks[i], 16))
+		}
+	}
+	return parts
+}
--- a/internal/server/assembler/assembler.go
+++ b/internal/server/assembler/assembler.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/server/blocker"
 	"oriolemill.example/oriolemill/internal/server/caller"
 	"oriolemill.example/oriolemill/internal/server/configurer"
 	"oriolemill.example/oriolemill/internal/server/controller"
@@ -79,6 +80,7 @@
 	follower             *configurer.Follower
 	limiter              *limiter.Limiter
 	peerer               *peerer.Peerer
+	blocker              *blocker.Blocker
 	caller               *caller.Caller
 	eventPoller          *indexer.EventPoller
 	usesBaselinePolicies bool
@@ -128,7 +130,7 @@
 	}
 	log := settings.Log.WithValues("instance", settings.ID, "datacentre", settings.Datacentre)
 	instance.reporter = reporter.New(log, timer, control.Snapshot)
-	if err := errors.Join(instance.buildConfiguration(platform, log), instance.buildPeerLinks(settings), instance.buildPlanner(), instance.buildRequestPath(callerListener, settings)); err != nil {
+	if err := errors.Join(instance.buildConfiguration(platform, log), instance.buildPeerLinks(settings), instance.buildBlocker(log), instance.buildPlanner(), instance.buildRequestPath(callerListener, settings)); err != nil {
 		_ = callerListener.Close()
 		_ = operatorListener.Close()
 		return nil, err
@@ -204,6 +206,8 @@
 		Service:  i.caller,
 		Observer: policies.observer,
 		Timer:    i.timer,
+
+		PromptBlocker: i.blocker,
 	}
 	requestRunner, err := runner.New(dependencies, i.controller.Snapshot)
 	if err != nil {
@@ -264,6 +268,7 @@
 	i.limiter.Stop()
 	i.watcher.Stop()
 	i.follower.Stop()
+	i.blocker.Close()
 	if i.peerer != nil {
 		i.peerer.Stop()
 	}
--- a/internal/server/assembler/export_test.go
+++ b/internal/server/assembler/export_test.go
@@ -1,6 +1,9 @@
 package assembler
 
-import "oriolemill.example/oriolemill/internal/server/controller"
+import (
+	"oriolemill.example/oriolemill/internal/server/blocker"
+	"oriolemill.example/oriolemill/internal/server/controller"
+)
 
 // BlockController blocks the controller goroutine in an event until release is called.
 func (i *Instance) BlockController() (release func()) {
@@ -13,3 +16,6 @@
 	<-blocked
 	return func() { close(released) }
 }
+
+// Blocker returns the component that knows which prompts crash engines.
+func (i *Instance) Blocker() *blocker.Blocker { return i.blocker }
--- a/internal/server/blocker/blocker.go
+++ b/internal/server/blocker/blocker.go
@@ -26,8 +26,8 @@
 	// settleDelay is the wait between a suspicion and the query, in which the reports of other
 	// instances about the same crashes arrive.
 	settleDelay = 200 * time.Millisecond
-	// askTimeout bounds the wait for the responses to a query.
-	askTimeout = 400 * time.Millisecond
+	// queryDelay is the time in which the responses to a query arrive.
+	queryDelay = 400 * time.Millisecond
 	// sendTimeout bounds the sending of a message to another instance.
 	sendTimeout = time.Second
 	// spreadInterval is how often an instance sends its blocks to spreadCount others, chosen
@@ -43,8 +43,6 @@
 	HolderIDs(name string, count int) []string
 	// Send sends a frame that has no response.
 	Send(ctx context.Context, id string, frame *encoder.Frame) error
-	// Ask sends a frame and returns the response.
-	Ask(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error)
 }
 
 // Blocker implements server.PromptBlocker. It is safe for concurrent use.
@@ -71,9 +69,21 @@
 	isInquiring bool
 }
 
+// Option sets a property of a Blocker.
+type Option func(*Blocker)
+
+// WithRestartTime is for replicas that are known by their IDs only: a crash that follows the
+// last one of its replica by more than this is one of its next incarnation.
+func WithRestartTime(least time.Duration) Option {
+	return func(b *Blocker) { b.evidence.restartTime = least }
+}
+
 // New returns a Blocker. Close must be called once.
-func New(log logr.Logger, timer server.Timer, links Links) *Blocker {
+func New(log logr.Logger, timer server.Timer, links Links, options ...Option) *Blocker {
 	b := &Blocker{log: log, timer: timer, links: links, evidence: newEvidence(), blocks: make(blocks)}
+	for _, option := range options {
+		option(b)
+	}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.stopSpread = timer.Every(spreadInterval, func(now time.Time) { b.spread(now) })
 	return b
@@ -88,18 +98,17 @@
 	b.messages.Wait()
 }
 
-// Counts returns how many attempts ended with a crash here, how many requests were blocked, and
-// how many parts are blocked now.
-func (b *Blocker) Counts() (crashes, requests uint64, parts int) {
+// blockedParts returns the number of parts that are blocked now.
+func (b *Blocker) blockedParts() (count int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.timer.Now()
 	for part := range b.blocks {
 		if _, ok := b.blocks.isBlocked(part, now); ok {
-			parts++
+			count++
 		}
 	}
-	return b.crashCount.Load(), b.blockedCount.Load(), parts
+	return count
 }
 
 // start calls work in its own goroutine, unless Close was called. The caller must not hold mu.
@@ -159,31 +168,29 @@
 
 // RecordCrash implements server.PromptBlocker. It does not wait for the reports to other
 // instances.
-func (b *Blocker) RecordCrash(replica *server.Replica, parts []string) {
+func (b *Blocker) RecordCrash(incarnation string, parts []string) {
 	if len(parts) == 0 {
 		return
 	}
 	b.crashCount.Add(1)
-	incarnation, keys := fmt.Sprintf("%s/%d", replica.ID, replica.StartMillis), partKeys(parts)
+	keys := partKeys(parts)
 	b.addCrash(incarnation, keys, b.timer.Now())
 	for _, id := range b.links.HolderIDs(holderName, holderCount) {
 		b.send(id, &encoder.PromptParts{Incarnation: incarnation, CrashedParts: keys})
 	}
 }
 
-// HandleMessage handles the message of another instance and returns the response to a query, or
-// nil for a message that has none.
-func (b *Blocker) HandleMessage(message *encoder.PromptParts) *encoder.Frame {
+// HandleMessage handles the message of another instance.
+func (b *Blocker) HandleMessage(from string, message *encoder.PromptParts) {
 	now := b.timer.Now()
 	if parts := message.GetCrashedParts(); len(parts) > 0 {
 		b.addCrash(message.GetIncarnation(), partKeys(parts), now)
 	}
 	b.addCompletions(message.GetCompletions(), now)
 	b.addBlocks(message.GetBlocks(), now)
-	if parts := message.GetQueriedParts(); len(parts) > 0 {
-		return &encoder.Frame{Body: &encoder.Frame_PromptParts{PromptParts: &encoder.PromptParts{Completions: b.completionsOf(parts, now)}}}
+	if completions := b.completionsOf(message.GetQueriedParts(), now); len(completions) > 0 {
+		b.send(from, &encoder.PromptParts{Completions: completions})
 	}
-	return nil
 }
 
 // completionsOf returns when requests with the parts were last completed here.
@@ -206,7 +213,7 @@
 	for _, key := range keys {
 		if _, ok := b.blocks.isBlocked(key, now); ok {
 			// Sent before the part was blocked.
-			b.evidence.explained.add(incarnation, now)
+			b.evidence.explained.add(b.evidence.nameIncarnation(incarnation, now), now)
 			return
 		}
 	}
@@ -232,7 +239,12 @@
 	parts := b.evidence.suspects(b.timer.Now())
 	b.mu.Unlock()
 	if !isStopped && len(parts) > 0 {
-		b.addCompletions(b.askAll(parts), b.timer.Now())
+		for _, id := range b.links.HolderIDs(holderName, maxBlocks) {
+			b.send(id, &encoder.PromptParts{QueriedParts: parts})
+		}
+		// An instance that does not respond is not waited for longer: the part must be
+		// blocked though instances are down.
+		isStopped = server.Sleep(b.ctx, b.timer, queryDelay) != nil
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -246,29 +258,6 @@
 	}
 }
 
-// askAll sends a query to all other instances and returns the completions that they know.
-func (b *Blocker) askAll(parts []string) []*encoder.PartCompletion {
-	ids := b.links.HolderIDs(holderName, maxBlocks)
-	ctx, cancel := context.WithTimeout(b.ctx, askTimeout)
-	defer cancel()
-	var mu sync.Mutex
-	var list []*encoder.PartCompletion
-	var queries sync.WaitGroup
-	for _, id := range ids {
-		queries.Go(func() {
-			frame := &encoder.Frame{Body: &encoder.Frame_PromptParts{PromptParts: &encoder.PromptParts{QueriedParts: parts}}}
-			// An instance that does not respond is asked for nothing more: a part that crashes
-			// replicas must be blocked though instances are down.
-			response, _ := b.links.Ask(ctx, id, frame)
-			mu.Lock()
-			defer mu.Unlock()
-			list = append(list, response.GetPromptParts().GetCompletions()...)
-		})
-	}
-	queries.Wait()
-	return list
-}
-
 // addCompletions adds what other instances have completed to the evidence, and ends the blocks
 // that it refutes.
 func (b *Blocker) addCompletions(list []*encoder.PartCompletion, now time.Time) {
--- a/internal/server/blocker/blocker_test.go
+++ b/internal/server/blocker/blocker_test.go
@@ -99,14 +99,8 @@
 
 // Send implements blocker.Links.
 func (m *member) Send(ctx context.Context, id string, frame *encoder.Frame) error {
-	_, err := m.Ask(ctx, id, frame)
-	return err
-}
-
-// Ask implements blocker.Links.
-func (m *member) Ask(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error) {
 	if err := server.Sleep(ctx, m.fleet.timer, linkDelay); err != nil {
-		return nil, err
+		return err
 	}
 	m.fleet.mu.Lock()
 	index := slices.IndexFunc(m.fleet.members, func(other *member) bool { return other.id == id })
@@ -115,10 +109,11 @@
 	m.fleet.mu.Unlock()
 	if isLost {
 		<-ctx.Done()
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 	// As in the real program, the receiver has a copy.
-	return other.HandleMessage(proto.CloneOf(frame).GetPromptParts()), nil
+	other.HandleMessage(m.id, proto.CloneOf(frame).GetPromptParts())
+	return nil
 }
 
 // engines counts the requests with a part that crashes its replica.
@@ -136,10 +131,10 @@
 	replica := f.intN(18)
 	if crashes {
 		e.crashedAt = append(e.crashedAt, time.Now())
-		m.RecordCrash(&server.Replica{ID: fmt.Sprint("r-", replica), StartMillis: e.born[replica]}, parts)
+		m.RecordCrash(fmt.Sprintf("r-%d/%d", replica, e.born[replica]), parts)
 		// Another request that ran there, at any instance.
 		victim := f.members[f.intN(len(f.members))]
-		victim.RecordCrash(&server.Replica{ID: fmt.Sprint("r-", replica), StartMillis: e.born[replica]}, []string{"first", fmt.Sprint("doc", f.intN(20))})
+		victim.RecordCrash(fmt.Sprintf("r-%d/%d", replica, e.born[replica]), []string{"first", fmt.Sprint("doc", f.intN(20))})
 		e.born[replica]++
 		return true
 	}
@@ -209,7 +204,7 @@
 		defer f.stop()
 		f.members[8].isCut = true
 		for i := range 6 {
-			f.members[8].RecordCrash(&server.Replica{ID: fmt.Sprint("r-", i)}, []string{"a"})
+			f.members[8].RecordCrash(fmt.Sprint("r-", i), []string{"a"})
 			for _, m := range f.members[:8] {
 				m.RecordCompletion([]string{"a"})
 			}
--- a/internal/server/blocker/evidence.go
+++ b/internal/server/blocker/evidence.go
@@ -40,16 +40,23 @@
 	// explained holds the incarnations that crashed under requests with a part that was
 	// blocked. They count against no other part.
 	explained recentTimes
+	// restartTime is zero if incarnations are known. Otherwise replicas are known by their
+	// IDs only, and a crash that follows the last one of its replica by more than this is one
+	// of its next incarnation.
+	restartTime time.Duration
+	// lastCrashes holds, by replica, its last crash if restartTime is set.
+	lastCrashes map[string]crash
 }
 
 func newEvidence() *evidence {
 	return &evidence{
-		crashes: make(map[string][]crash), completions: recentTimes{limit: maxCompletions}, explained: recentTimes{limit: maxExplained},
+		crashes: make(map[string][]crash), lastCrashes: make(map[string]crash), completions: recentTimes{limit: maxCompletions}, explained: recentTimes{limit: maxExplained},
 	}
 }
 
 // addCrash records that an incarnation crashed under a request with the parts.
 func (e *evidence) addCrash(incarnation string, parts []string, at time.Time) {
+	incarnation = e.nameIncarnation(incarnation, at)
 	for _, part := range parts {
 		known := e.crashes[part]
 		if slices.ContainsFunc(known, func(c crash) bool { return c.incarnation == incarnation }) {
@@ -64,6 +71,22 @@
 	}
 }
 
+// nameIncarnation returns the name of the incarnation of a replica that crashed at a time.
+func (e *evidence) nameIncarnation(replica string, at time.Time) string {
+	if e.restartTime == 0 {
+		return replica
+	}
+	last, ok := e.lastCrashes[replica]
+	if !ok || at.Sub(last.at) > e.restartTime {
+		if len(e.lastCrashes) >= maxExplained {
+			clear(e.lastCrashes)
+		}
+		last = crash{incarnation: replica + "/" + at.Format(time.RFC3339Nano), at: at}
+		e.lastCrashes[replica] = last
+	}
+	return last.incarnation
+}
+
 // dropOldestSuspect drops the part whose last crash is the oldest.
 func (e *evidence) dropOldestSuspect() {
 	oldest, oldestAt := "", time.Time{}
--- a/internal/server/caller/engine.go
+++ b/internal/server/caller/engine.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"time"
 
@@ -25,7 +26,11 @@
 	check := &sendCheck{check: call.BeforeSend}
 	response, err := c.post(withSendCheck(ctx, check), upstream, messenger.PathGenerate, call.Traceparent, c.generateRequest(call, prompt))
 	if err != nil {
-		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), check.sendError(ctx, err))
+		err = check.sendError(ctx, err)
+		if check.sendState() != server.SendStateUnsent {
+			err = connectionLost(ctx, err)
+		}
+		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response); err != nil {
@@ -44,9 +49,19 @@
 		}
 	}
 	if err := scanner.Err(); err != nil {
-		return reader.answer(), server.NewFault(call.Stage, upstream.ID(), transportError(ctx, err))
+		return reader.answer(), server.NewFault(call.Stage, upstream.ID(), connectionLost(ctx, transportError(ctx, err)))
+	}
+	err = merry.Prepend(server.ErrMismatch, "stream ended without an end mark")
+	return reader.answer(), server.NewFault(call.Stage, upstream.ID(), connectionLost(ctx, err))
+}
+
+// connectionLost adds server.ErrConnectionLost to the error of a call, unless this side has
+// ended the call.
+func connectionLost(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return err
 	}
-	return reader.answer(), server.NewFault(call.Stage, upstream.ID(), merry.Prepend(server.ErrMismatch, "stream ended without an end mark"))
+	return errors.Join(err, server.ErrConnectionLost)
 }
 
 // generateRequest returns the message of a call to an engine.
--- a/internal/server/composer/counters.go
+++ b/internal/server/composer/counters.go
@@ -44,15 +44,9 @@
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_resumed_unknown_total", Help: "Streams to resume whose version no instance knew.",
 	}, func() uint64 { _, unknown := i.pinner.Counts(); return unknown })
-	add(prometheus.CounterOpts{
-		Name: "oriolemill_prompt_crashes_total", Help: "Attempts with shared prompt parts that replicas ended without a complete response.",
-	}, func() uint64 { crashes, _, _ := i.blocker.Counts(); return crashes })
-	add(prometheus.CounterOpts{
-		Name: "oriolemill_prompt_blocked_total", Help: "Times a request was withheld since its prompt has a part that crashes replicas.",
-	}, func() uint64 { _, requests, _ := i.blocker.Counts(); return requests })
-	i.meter.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "oriolemill_prompt_parts_blocked", Help: "Parts of prompts that are blocked since they crash replicas.",
-	}, func() float64 { _, _, parts := i.blocker.Counts(); return float64(parts) }))
+	for _, collector := range i.blocker.Collectors() {
+		i.meter.Register(collector)
+	}
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_connections_opened_total", Help: "Connections opened to replicas.",
 	}, func() uint64 { opened, _ := i.dialer.Counts(); return opened })
--- a/internal/server/composer/membership.go
+++ b/internal/server/composer/membership.go
@@ -116,7 +116,7 @@
 	case *encoder.Frame_OriginRequest:
 		return i.pinner.HandleRequest(body.OriginRequest)
 	case *encoder.Frame_PromptParts:
-		return i.blocker.HandleMessage(body.PromptParts)
+		i.blocker.HandleMessage(from, body.PromptParts)
 	case *encoder.Frame_Leaving:
 		i.linker.HandleLeaving(from)
 	}
--- a/internal/server/fault.go
+++ b/internal/server/fault.go
@@ -39,6 +39,13 @@
 	ErrLeaving = merry.New("leaving")
 	// ErrNoUpstream means that no replica of the service is eligible.
 	ErrNoUpstream = merry.New("no upstream")
+	// ErrConnectionLost means that the upstream closed the connection before the response was
+	// complete, as one that crashes does. Such an error also matches ErrUnavailable or
+	// ErrMismatch.
+	ErrConnectionLost = merry.New("connection lost")
+	// ErrPromptBlocked means that a part of the prompt has crashed replicas, so that no
+	// replica gets it.
+	ErrPromptBlocked = merry.New("a part of the prompt has crashed replicas")
 	// ErrInvalid means that the request or document is malformed.
 	ErrInvalid = merry.New("invalid")
 	// ErrTokenRejected means that an upstream rejected the token of a call and did not
--- a/internal/server/peerer/peerer.go
+++ b/internal/server/peerer/peerer.go
@@ -76,6 +76,7 @@
 	documents        server.DocumentProvider
 	loadHandler      LoadHandler
 	creditHandler    CreditHandler
+	promptHandler    PromptHandler
 	// version is the configuration version that is active on this instance.
 	version atomic.Uint64
 	state   atomic.Pointer[peerState]
@@ -142,6 +143,12 @@
 	NotifyInstancesChanged(now time.Time)
 }
 
+// PromptHandler handles what peers know of parts of prompts that crash engines. It is called by
+// the links' goroutines and must not block.
+type PromptHandler interface {
+	HandleMessage(from string, message *encoder.PromptParts)
+}
+
 // Option sets a property of a Peerer.
 type Option func(*Peerer)
 
@@ -189,6 +196,10 @@
 	p.creditHandler = credits
 }
 
+// SetPromptHandler sets the handler of what peers know of parts of prompts. It must be called
+// before Start.
+func (p *Peerer) SetPromptHandler(handler PromptHandler) { p.promptHandler = handler }
+
 // Start begins to accept links and starts the periodic tasks.
 func (p *Peerer) Start() {
 	p.startedAt = p.control.Timer().Now()
--- a/internal/server/peerer/session.go
+++ b/internal/server/peerer/session.go
@@ -223,6 +223,10 @@
 		if p.creditHandler != nil {
 			p.creditHandler.HandleCreditGrant(from, body.CreditGrant)
 		}
+	case *encoder.Frame_PromptParts:
+		if p.promptHandler != nil {
+			p.promptHandler.HandleMessage(from, body.PromptParts)
+		}
 	case *encoder.Frame_ConfigVersion:
 		p.control.Post(controller.EventFunc(func() { p.recordVersion(l, body.ConfigVersion.GetVersion()) }))
 	case *encoder.Frame_Digest:
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 )
 
@@ -143,6 +144,9 @@
 	WarmAt time.Time
 }
 
+// Incarnation returns what identifies the replica's present start among all starts.
+func (r *Replica) Incarnation() string { return r.ID + "/" + strconv.FormatInt(r.StartMillis, 10) }
+
 // StreamOrigin is what began a stream: a service, and the software version of its replica.
 type StreamOrigin struct {
 	Service, Version string
@@ -164,9 +168,9 @@
 	// BlockedFor returns for how long requests with one of the parts must not be sent to
 	// replicas, and that part; zero if none is blocked.
 	BlockedFor(parts []string) (wait time.Duration, part string)
-	// RecordCrash records that a replica ended a request with the parts without a response,
-	// or within it.
-	RecordCrash(replica *Replica, parts []string)
+	// RecordCrash records that an incarnation of a replica ended a request with the parts
+	// without a response, or within it.
+	RecordCrash(incarnation string, parts []string)
 	// RecordCompletion records that a replica completed a request with the parts.
 	RecordCompletion(parts []string)
 }
--- a/internal/server/relayer/prompt.go
+++ b/internal/server/relayer/prompt.go
@@ -5,15 +5,9 @@
 	"errors"
 	"net/http"
 
-	"github.com/ansel1/merry/v2"
-
 	"oriolemill.example/oriolemill/internal/server"
 )
 
-// errBlocked is the cause with which a request is withheld whose prompt has a part that crashes
-// replicas.
-var errBlocked = merry.New("a part of the prompt has crashed replicas")
-
 // checkPrompt ends the request if its prompt has a part that crashes replicas. It reports
 // whether the request goes on.
 func (f *relayedRequest) checkPrompt() bool {
@@ -21,7 +15,7 @@
 	if wait == 0 {
 		return true
 	}
-	reason := errBlocked.Error() + ": " + part
+	reason := server.ErrPromptBlocked.Error() + ": " + part
 	switch {
 	case f.responseStarted:
 		f.shouldAbort, f.outcome, f.reason = true, outcomeBroken, reason
@@ -44,7 +38,7 @@
 		}
 	case attemptNoResponse, attemptTruncated, attemptStreamBroken:
 		if errors.Is(context.Cause(f.attemptCtx), context.Canceled) && f.ctx.Err() == nil {
-			f.PromptBlocker.RecordCrash(replica, f.sharedParts)
+			f.PromptBlocker.RecordCrash(replica.Incarnation(), f.sharedParts)
 		}
 	}
 }
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -97,7 +97,7 @@
 		return server.ErrLeaving
 	}
 	if wait, _ := f.PromptBlocker.BlockedFor(f.sharedParts); wait > 0 {
-		return errBlocked
+		return server.ErrPromptBlocked
 	}
 	return context.Cause(f.ctx)
 }
--- a/internal/server/runner/attempt.go
+++ b/internal/server/runner/attempt.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/pkg/parser"
 )
@@ -32,6 +35,9 @@
 // beginAttempt picks an upstream, adds it to the attempted ones of the pick request
 // and counts the attempt.
 func (c *run) beginAttempt(ctx context.Context, stage parser.Stage, call *server.Call, pickRequest *server.PickRequest) (*attempt, error) {
+	if err := c.checkPrompt(stage, pickRequest); err != nil {
+		return nil, err
+	}
 	parts := c.runner.dependencies
 	now := parts.Timer.Now()
 	upstream := parts.Picker.Pick(c.runner.snapshot(), pickRequest, now, c.random)
@@ -45,12 +51,36 @@
 	// The snapshot may be outdated; an engine rejects a model that it does not have.
 	a.call.Model, _ = upstream.ServingModel(pickRequest.Model)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	a.call.BeforeSend = func() error { return c.runner.checkSend(a.ctx, upstream, call.Deadline) }
+	a.call.BeforeSend = func() error {
+		if err := c.runner.checkSend(a.ctx, upstream, call.Deadline); err != nil {
+			return err
+		}
+		return c.checkPrompt(stage, pickRequest)
+	}
 	c.costs[stage.Name()] = c.costs[stage.Name()].Add(server.Cost{Calls: 1})
 	upstream.Gauge().Begin()
 	return a, nil
 }
 
+// checkPrompt returns server.ErrPromptBlocked if a part of the prompt crashes engines.
+func (c *run) checkPrompt(stage parser.Stage, pickRequest *server.PickRequest) error {
+	wait, part := c.runner.dependencies.PromptBlocker.BlockedFor(pickRequest.SharedParts)
+	if wait == 0 {
+		return nil
+	}
+	return server.NewFault(stage.Name(), stage.Service(), merry.Prepend(server.ErrPromptBlocked, part), server.WithRetryAfter(wait))
+}
+
+// recordPrompt records for the parts of the prompt how an attempt at an engine ended.
+func (c *run) recordPrompt(a *attempt, pickRequest *server.PickRequest, err error) {
+	switch {
+	case err == nil:
+		c.runner.dependencies.PromptBlocker.RecordCompletion(pickRequest.SharedParts)
+	case errors.Is(err, server.ErrConnectionLost):
+		c.runner.dependencies.PromptBlocker.RecordCrash(a.upstream.ID(), pickRequest.SharedParts)
+	}
+}
+
 // checkSend returns an error if an attempt must not be sent any more: it was cancelled, its
 // deadline has passed, or the upstream has left since it was picked. It is called right
 // before the first byte is sent; the timer of the deadline may be late.
@@ -206,6 +236,7 @@
 	})
 	a.upstream.Gauge().End(err == nil)
 	c.endAttempt(ctx, attemptResult{attempt: a, answer: answer, err: err})
+	c.recordPrompt(a, pickRequest, err)
 	if err == nil {
 		c.streamedTokens = nil
 		return answer, nil
--- a/internal/server/runner/runner.go
+++ b/internal/server/runner/runner.go
@@ -30,6 +30,8 @@
 	Service  server.Service
 	Observer server.Observer
 	Timer    server.Timer
+	// PromptBlocker knows the parts of prompts that crash engines.
+	PromptBlocker server.PromptBlocker
 }
 
 // Runner runs requests. It is safe for concurrent use.
