Bound the head of a replica's response

A head without end was read, and kept, until the deadline of the request.

Cause: http.ReadResponse sets no bound on a head.

--- a/internal/server/dialer/conn.go
+++ b/internal/server/dialer/conn.go
@@ -29,6 +29,8 @@
 type Conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// headLimiter is what reader reads from.
+	headLimiter *headLimiter
 	// replicaID and startMillis identify the incarnation of the replica to which the
 	// connection was opened.
 	replicaID   string
@@ -101,8 +103,10 @@
 }
 
 // readFinalResponse reads the headers of the next response that is not
-// informational.
+// informational. It returns ErrMismatch for a head of more than maxHeadBytes.
 func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
+	c.headLimiter.begin()
+	defer c.headLimiter.end()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/server/dialer/dialer.go
+++ b/internal/server/dialer/dialer.go
@@ -119,7 +119,8 @@
 	d.mu.Lock()
 	d.openedCount++
 	d.mu.Unlock()
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes), replicaID: replica.ID, startMillis: replica.StartMillis, address: replica.Address}, nil
+	limiter := &headLimiter{Conn: raw}
+	return &Conn{Conn: raw, reader: bufio.NewReaderSize(limiter, bufferBytes), headLimiter: limiter, replicaID: replica.ID, startMillis: replica.StartMillis, address: replica.Address}, nil
 }
 
 // popIdle removes and returns the idle connection to an address that was used
