Lower the bound of an event that is not complete

32 streams that sent an event without end used 64 MB, of the 160 MB that an instance may have (TestEndlessResponsesAreBounded, case event): each kept up to 1 MB, and the growth of the buffer beside it. The bound is 128 KB now. Events hold some tokens each; a longer one ends the attempt as before.

--- a/internal/server/relayer/events.go
+++ b/internal/server/relayer/events.go
@@ -10,7 +10,7 @@
 )
 
 // maxEventBytes bounds the bytes of an incomplete event.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 128 << 10
 
 // errInsideEvent means that a stream ended before its last event was complete.
 var errInsideEvent = merry.New("the stream ended inside an event")
