Bound the time in which the body of a refusal is read

A replica that refuses a request, and sends the body of the refusal without end or slowly, held the request until its deadline, although it could be tried elsewhere or refused at once: 503 after 2.0 s (TestEndlessResponsesAreBounded, case body of a refusal).

The body is read for 50 ms and 16 KB at most, only so that the connection can be reused.

--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -31,6 +31,10 @@
 	stallFactor           = 8
 	minStallTimeout       = 400 * time.Millisecond
 	minStreamStallTimeout = time.Second
+	// maxRefusalBytes and refusalTimeout bound the body of a refusal, which is read only so
+	// that its connection can be reused.
+	maxRefusalBytes = 16 << 10
+	refusalTimeout  = 50 * time.Millisecond
 	// stallGapFactor is how many times longer than the route's gap the pause between
 	// events may be before the stream is resumed at another replica.
 	stallGapFactor = 4
@@ -183,11 +187,13 @@
 }
 
 // handleRefusal reads the rest of a refusal, so that the connection can be reused, and
-// returns outcome. chooserOutcome is recorded for the replica.
+// returns outcome. It ends the attempt if the rest is late. chooserOutcome is recorded for the replica.
 func (f *relayedRequest) handleRefusal(attempt *chooser.Attempt, response *exchanger.Answer, outcome attemptOutcome, chooserOutcome chooser.Outcome) attemptOutcome {
 	f.reason = "the replica answered " + strconv.Itoa(response.StatusCode) + " and did not run it"
+	f.stopStallTimer()
+	f.stopStallTimer = f.Timer.After(refusalTimeout, func(time.Time) { f.cancelStalled() })
 	// If this fails, the connection is not reused.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxRefusalBytes))
 	response.Close()
 	attempt.End(chooserOutcome)
 	return outcome
