--- a/internal/server/caller/caller.go
+++ b/internal/server/caller/caller.go
@@ -28,6 +28,10 @@
 	idleTimeout = 30 * time.Second
 	// maxResponseBytes bounds the size of a response.
 	maxResponseBytes = 8 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
+	// maxDiscardedBytes bounds what is read of a body only to reuse its connection.
+	maxDiscardedBytes = 64 << 10
 )
 
 // Caller is the client of all upstreams. It implements server.Pool, server.Engine
@@ -62,8 +66,10 @@
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	singleUseTransport := &http.Transport{DialContext: dialChecked, DisableKeepAlives: true, DisableCompression: true}
+	singleUseTransport := &http.Transport{DialContext: dialChecked, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	c := &Caller{
 		client:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 		singleUse: &http.Client{Transport: singleUseTransport, CheckRedirect: refuseRedirect},
@@ -138,6 +144,6 @@
 
 // discardBody reads and closes a body, so that its connection can be reused.
 func discardBody(body io.ReadCloser) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxResponseBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes))
 	_ = body.Close()
 }
--- a/internal/server/caller/engine.go
+++ b/internal/server/caller/engine.go
@@ -83,10 +83,11 @@
 type chunkReader struct {
 	attemptID string
 	workspace string
-	// nextOffset is the expected offset of the next token.
-	nextOffset int
-	text       strings.Builder
-	cost       server.Cost
+	// nextOffset is the expected offset of the next token, maxTokens the number of tokens
+	// that were asked for; zero means no bound.
+	nextOffset, maxTokens int
+	text                  strings.Builder
+	cost                  server.Cost
 }
 
 // newChunkReader returns a reader of the stream that continues after the call's
@@ -96,6 +97,7 @@
 		attemptID:  call.AttemptID.String(),
 		workspace:  call.Workspace,
 		nextOffset: len(call.ResumePrefix),
+		maxTokens:  call.MaxTokens,
 		cost:       server.Cost{Calls: 1},
 	}
 	for _, token := range call.ResumePrefix {
@@ -122,6 +124,9 @@
 	if chunk.Offset != r.nextOffset {
 		return false, merry.Prependf(server.ErrMismatch, "received token offset %d, expected %d", chunk.Offset, r.nextOffset)
 	}
+	if r.maxTokens > 0 && chunk.Offset >= r.maxTokens {
+		return false, merry.Prependf(server.ErrMismatch, "received more than the %d tokens asked for", r.maxTokens)
+	}
 	r.nextOffset++
 	r.cost.DecodeTokens++
 	r.text.WriteString(chunk.Text)
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -15,7 +15,7 @@
 )
 
 // maxStageResponseBytes bounds the response to a stage call.
-const maxStageResponseBytes = 4 << 20
+const maxStageResponseBytes = 512 << 10
 
 // Exchanger sends requests over pooled connections. It is safe for concurrent use.
 type Exchanger struct {
--- a/internal/server/storer/storer.go
+++ b/internal/server/storer/storer.go
@@ -24,6 +24,8 @@
 const (
 	// dialTimeout bounds the establishment of a connection.
 	dialTimeout = time.Second
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	// maxResponseBytes bounds the size of a response.
 	maxResponseBytes = 64 << 20
 )
@@ -42,6 +44,8 @@
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 64,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Storer{baseURL: baseURL, client: &http.Client{Transport: transport}}
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -22,6 +22,8 @@
 	maxResponseBytes = 16 << 20
 	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 4 << 20
+	// maxHeadBytes limits the size of the head of a response.
+	maxHeadBytes = 64 << 10
 	// maxIdleConnsPerHost limits the idle connections that stay open for reuse.
 	maxIdleConnsPerHost = 64
 )
@@ -49,6 +51,8 @@
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	c := &Client{baseURL: strings.TrimSuffix(baseURL, "/")}
 	c.httpClient = &http.Client{
