--- a/internal/server/composer/counters.go
+++ b/internal/server/composer/counters.go
@@ -26,18 +26,7 @@
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_log_dropped_total", Help: "Log lines dropped since the volume is bounded.",
 	}, func() uint64 { _, _, dropped := i.recorder.Counts(); return dropped })
-	add(prometheus.CounterOpts{
-		Name: "oriolemill_store_failures_total", Help: "Calls to the store that failed.",
-	}, i.registrar.FailureCount)
-	add(prometheus.CounterOpts{
-		Name: "oriolemill_replicas_left_by_response_total", Help: "Replicas taken out of service since a response of theirs stated that they are leaving.",
-	}, i.registrar.LeavingCount)
-	add(prometheus.CounterOpts{
-		Name: "oriolemill_store_stale_responses_total", Help: "Responses of the store with a version lower than the known one.",
-	}, i.registrar.StaleResponseCount)
-	i.meter.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "oriolemill_replicas_kept", Help: "Replicas kept for now though their registration is missing.",
-	}, func() float64 { return float64(i.registrar.PendingRemovals()) }))
+	i.registerStoreCounters(add)
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_resumed_known_total", Help: "Streams resumed by clients whose version was found.",
 	}, func() uint64 { found, _ := i.pinner.Counts(); return found })
@@ -72,3 +61,19 @@
 		Name: "oriolemill_batch_late_total", Help: "Jobs given up since they could not end in time.",
 	}, func() uint64 { return i.owner.Counts().ShedJobs })
 }
+
+// registerStoreCounters adds the metrics of the registrar with add.
+func (i *Instance) registerStoreCounters(add func(options prometheus.CounterOpts, value func() uint64)) {
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_store_failures_total", Help: "Calls to the store that failed.",
+	}, i.registrar.FailureCount)
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_replicas_left_by_response_total", Help: "Replicas taken out of service since a response of theirs stated that they are leaving.",
+	}, i.registrar.LeavingCount)
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_store_stale_responses_total", Help: "Responses of the store with a version lower than the known one.",
+	}, i.registrar.StaleResponseCount)
+	i.meter.Register(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "oriolemill_replicas_kept", Help: "Replicas kept for now though their registration is missing.",
+	}, func() float64 { return float64(i.registrar.PendingRemovals()) }))
+}
--- a/internal/server/relayer/prompt.go
+++ b/internal/server/relayer/prompt.go
@@ -40,5 +40,7 @@
 		if errors.Is(context.Cause(f.attemptCtx), context.Canceled) && f.ctx.Err() == nil {
 			f.PromptBlocker.RecordCrash(replica.Incarnation(), f.sharedParts)
 		}
+	default:
+		// The replica did not begin to respond, or responded that it failed.
 	}
 }
