--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -145,24 +145,6 @@
 // LeavingCount returns the number of replicas that left by what their responses stated.
 func (r *Registrar) LeavingCount() uint64 { return r.leavingCount.Load() }
 
-// RecordLeaving takes an incarnation of a replica out of service that has stated in a response
-// that it is leaving, whatever the store's row says. Its next incarnation serves again.
-func (r *Registrar) RecordLeaving(replica *server.Replica) {
-	r.mu.Lock()
-	current, exists := r.replicas[replica.ID]
-	if !exists || current.IsDraining || current.StartMillis != replica.StartMillis {
-		r.mu.Unlock()
-		return
-	}
-	current.IsDraining = true
-	r.replicas[replica.ID] = current
-	r.leavingCount.Add(1)
-	r.log.Info("replica stated in a response that it is leaving", "replica", replica.ID, "service", replica.Service, "address", replica.Address, "born", replica.StartMillis)
-	view := r.publish()
-	r.mu.Unlock()
-	r.onChange(view)
-}
-
 // PendingRemovals returns the number of replicas that are kept for now though their row was
 // deleted.
 func (r *Registrar) PendingRemovals() int {
@@ -318,110 +300,6 @@
 	return count
 }
 
-// applyReplica adds or updates a replica unless its registration is invalid or older
-// than the known one. The caller holds mu.
-func (r *Registrar) applyReplica(row server.StoredRow) {
-	replica, err := r.decoder.DecodeReplica(row.Name, row.Value, r.timer.Now())
-	if err != nil {
-		r.log.Info("invalid registration of a replica ignored", "replica", row.Name, "cause", err.Error(), "store_version", row.Version)
-		return
-	}
-	current, exists := r.replicas[row.Name]
-	if exists && isOlder(replica, current) {
-		r.log.Info("older registration ignored", "replica", row.Name, "born", replica.StartMillis, "known", current.StartMillis, "seq", replica.Sequence)
-		return
-	}
-	if !exists && r.departed.hasDrained(replica) {
-		r.log.Info("registration of a replica that has left ignored", "replica", row.Name, "born", replica.StartMillis, "seq", replica.Sequence)
-		return
-	}
-	delete(r.pendingRemovals, row.Name)
-	r.replicas[row.Name] = replica
-	if !exists || current.IsDraining != replica.IsDraining || current.StartMillis != replica.StartMillis || current.Address != replica.Address {
-		r.log.Info("replica registered", "replica", row.Name, "service", replica.Service, "address", replica.Address,
-			"datacentre", replica.Datacentre, "version", replica.Version, "born", replica.StartMillis, "draining", replica.IsDraining, "store_version", row.Version)
-	}
-}
-
-// isOlder reports whether a registration was made before the known one: by an earlier
-// incarnation, with a lower sequence number, or before the replica began to drain. An
-// incarnation that drains never returns to service.
-func isOlder(replica, current server.Replica) bool {
-	if replica.StartMillis != current.StartMillis {
-		return replica.StartMillis < current.StartMillis
-	}
-	return replica.Sequence < current.Sequence || current.IsDraining && !replica.IsDraining
-}
-
-// removeReplica removes a replica whose row was deleted. If the instance that read the
-// deletion had been without the store until recoveredAt, the row may only have expired for
-// that reason: the removal is then postponed until recoveryGrace after that, unless the
-// replica is draining. The caller holds mu.
-//
-// Failed calls of other instances, and later ones, postpone nothing: the store may refuse
-// some instances while it serves the others and the replicas.
-func (r *Registrar) removeReplica(id string, recoveredAt time.Time) {
-	replica, exists := r.replicas[id]
-	if !exists {
-		return
-	}
-	now, removeAt := r.timer.Now(), recoveredAt.Add(recoveryGrace)
-	if !removeAt.After(now) || replica.IsDraining {
-		r.dropReplica(replica)
-		return
-	}
-	r.pendingRemovals[id] = removeAt
-	r.log.Info("registration is missing after a failure of the store; replica kept for now", "replica", id, "service", replica.Service, "wait_ms", removeAt.Sub(now).Milliseconds())
-	r.scheduleRemovals(now)
-}
-
-// dropReplica removes a replica. The caller holds mu.
-func (r *Registrar) dropReplica(replica server.Replica) {
-	delete(r.replicas, replica.ID)
-	r.departed.add(replica)
-	r.log.Info("replica removed", "replica", replica.ID, "service", replica.Service, "address", replica.Address)
-}
-
-// scheduleRemovals sets the timer for the next pending removal. There is one timer for all
-// of them. The caller holds mu.
-func (r *Registrar) scheduleRemovals(now time.Time) {
-	r.stopRemovalTimer()
-	r.stopRemovalTimer = func() {}
-	if len(r.pendingRemovals) == 0 {
-		return
-	}
-	var next time.Time
-	for _, removeAt := range r.pendingRemovals {
-		if next.IsZero() || removeAt.Before(next) {
-			next = removeAt
-		}
-	}
-	r.stopRemovalTimer = r.timer.After(max(next.Sub(now), time.Millisecond), func(now time.Time) { go r.removeExpired(now) })
-}
-
-// removeExpired removes the replicas whose pending removal is due. It publishes a new view
-// if there are any.
-func (r *Registrar) removeExpired(now time.Time) {
-	r.mu.Lock()
-	removed := 0
-	for id, removeAt := range r.pendingRemovals {
-		if now.Before(removeAt) {
-			continue
-		}
-		removed++
-		delete(r.pendingRemovals, id)
-		r.dropReplica(r.replicas[id])
-	}
-	r.scheduleRemovals(now)
-	if removed == 0 {
-		r.mu.Unlock()
-		return
-	}
-	view := r.publish()
-	r.mu.Unlock()
-	r.onChange(view)
-}
-
 // applyInstance adds or updates an instance. One whose row is invalid is removed. The
 // caller holds mu.
 func (r *Registrar) applyInstance(row server.StoredRow) {
