Query each suspected part before it is blocked, and let blocks end in time

- a part that became suspected while the query for another one was under way was blocked without one (TestUnqueriedPartIsNotConvicted);
- each message with a block prolonged it by its time on the way, so instances that send it to each other each second could keep it for ever (TestBlockEndsInTime fails with the rule before);
- 512 blocks at most, and 256 parts in a query, so that a message fits a frame;
- a completed request refutes a block from the first crash on that counts, as was stated, not from the block on.

--- a/internal/server/blocker/blocker.go
+++ b/internal/server/blocker/blocker.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -219,8 +220,9 @@
 	}
 	b.evidence.addCrash(incarnation, keys, now)
 	for _, key := range keys {
-		if b.blocks.isOnProbation(key, now) && len(b.evidence.counted(key, now)) > 0 {
-			b.beginBlock(key, now)
+		if counted := b.evidence.counted(key, now); b.ctx.Err() == nil && b.blocks.isOnProbation(key, now) && len(counted) > 0 {
+			b.evidence.explain(key)
+			b.beginBlock(conviction{part: key, since: counted[0].at}, now)
 			return
 		}
 	}
@@ -232,29 +234,31 @@
 }
 
 // inquire asks all other instances whether they have completed requests with the suspected
-// parts, and blocks the parts that remain suspected.
+// parts, and blocks the parts that remain suspected. It ends when no part is suspected.
 func (b *Blocker) inquire() {
-	isStopped := server.Sleep(b.ctx, b.timer, settleDelay) != nil
-	b.mu.Lock()
-	parts := b.evidence.suspects(b.timer.Now())
-	b.mu.Unlock()
-	if !isStopped && len(parts) > 0 {
-		for _, id := range b.links.HolderIDs(holderName, maxBlocks) {
+	for server.Sleep(b.ctx, b.timer, settleDelay) == nil {
+		b.mu.Lock()
+		parts := b.evidence.suspects(b.timer.Now())
+		b.isInquiring = len(parts) > 0
+		b.mu.Unlock()
+		if len(parts) == 0 {
+			return
+		}
+		parts = parts[:min(len(parts), maxParts)]
+		for _, id := range b.otherIDs() {
 			b.send(id, &encoder.PromptParts{QueriedParts: parts})
 		}
 		// An instance that does not respond is not waited for longer: the part must be
 		// blocked though instances are down.
-		isStopped = server.Sleep(b.ctx, b.timer, queryDelay) != nil
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.isInquiring = false
-	if isStopped {
-		return
-	}
-	now := b.timer.Now()
-	for _, part := range b.evidence.convict(now) {
-		b.beginBlock(part, now)
+		if server.Sleep(b.ctx, b.timer, queryDelay) != nil {
+			return
+		}
+		b.mu.Lock()
+		now := b.timer.Now()
+		for _, c := range b.evidence.convict(parts, now) {
+			b.beginBlock(c, now)
+		}
+		b.mu.Unlock()
 	}
 }
 
@@ -291,26 +295,21 @@
 		return
 	}
 	message := &encoder.PromptParts{Completions: []*encoder.PartCompletion{{Part: part, AgeMs: uint32(max(now.Sub(completedAt).Milliseconds(), 0))}}}
-	for _, id := range b.links.HolderIDs(holderName, maxBlocks) {
+	for _, id := range b.otherIDs() {
 		b.messages.Go(func() { b.deliver(id, message) })
 	}
 }
 
 // beginBlock blocks a part here and on all other instances. The caller holds mu.
-func (b *Blocker) beginBlock(part string, now time.Time) {
-	since := now
-	if list := b.evidence.counted(part, now); len(list) > 0 {
-		since = list[0].at
-	}
-	added := b.blocks.next(part, since, now)
-	b.evidence.explain(part)
-	if !b.blocks.set(part, added, now) {
+func (b *Blocker) beginBlock(c conviction, now time.Time) {
+	added := b.blocks.next(c.part, c.since, now)
+	if !b.blocks.set(c.part, added) {
 		return
 	}
 	b.blockCount.Store(int64(len(b.blocks)))
-	b.log.Info("part of prompts blocked: replicas crashed under requests with it", "part", part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
-	message := &encoder.PromptParts{Blocks: []*encoder.PartBlock{encodeBlock(part, added, now)}}
-	for _, id := range b.links.HolderIDs(holderName, maxBlocks) {
+	b.log.Info("part of prompts blocked: replicas crashed under requests with it", "part", c.part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
+	message := &encoder.PromptParts{Blocks: []*encoder.PartBlock{encodeBlock(c.part, added, now)}}
+	for _, id := range b.otherIDs() {
 		b.messages.Go(func() { b.deliver(id, message) })
 	}
 }
@@ -326,7 +325,7 @@
 			b.publishCompletion(part, completedAt, now)
 			continue
 		}
-		if b.blocks.set(part, added, now) {
+		if b.blocks.set(part, added) {
 			b.evidence.explain(part)
 			b.log.Info("part of prompts blocked by another instance", "part", part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
 		}
@@ -347,7 +346,7 @@
 		message.Blocks = append(message.Blocks, encodeBlock(part, current, now))
 	}
 	b.mu.Unlock()
-	ids := b.links.HolderIDs(holderName, maxBlocks)
+	ids := b.otherIDs()
 	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	for _, id := range ids[:min(len(ids), spreadCount)] {
 		b.send(id, message)
@@ -359,6 +358,9 @@
 	b.start(func() { b.deliver(id, message) })
 }
 
+// otherIDs returns the IDs of all other instances that respond.
+func (b *Blocker) otherIDs() []string { return b.links.HolderIDs(holderName, math.MaxInt) }
+
 // deliver sends a message to another instance.
 func (b *Blocker) deliver(id string, message *encoder.PromptParts) {
 	ctx, cancel := context.WithTimeout(b.ctx, sendTimeout)
--- a/internal/server/blocker/blocker_test.go
+++ b/internal/server/blocker/blocker_test.go
@@ -224,3 +224,30 @@
 		}
 	})
 }
+
+// TestBlockEndsInTime guards against a block that instances prolong by sending it to each other.
+func TestBlockEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(9, 1)
+		defer f.stop()
+		for i := range 6 {
+			f.members[i].RecordCrash(fmt.Sprint("r-", i), []string{"a"})
+		}
+		time.Sleep(time.Second)
+		for end := time.Now().Add(10 * time.Minute); time.Now().Before(end); time.Sleep(time.Second) {
+			wait, _ := f.members[0].BlockedFor([]string{"a"})
+			is.True(wait > 0 || time.Until(end) < 2*time.Second)
+		}
+		for _, m := range f.members {
+			wait, _ := m.BlockedFor([]string{"a"})
+			is.Equal(wait, time.Duration(0))
+		}
+		f.members[3].RecordCrash("r-9", []string{"a"}) // one more suffices now
+		time.Sleep(time.Second)
+		for _, m := range f.members {
+			wait, _ := m.BlockedFor([]string{"a"})
+			is.True(wait > 15*time.Minute)
+		}
+	})
+}
--- a/internal/server/blocker/blocks.go
+++ b/internal/server/blocker/blocks.go
@@ -10,8 +10,9 @@
 	// probation is how long after the end of a block a single crash suffices to block the
 	// part again.
 	probation = time.Hour
-	// maxBlocks bounds the blocked parts; beyond it the block that ends first is dropped.
-	maxBlocks = 1024
+	// maxBlocks bounds the blocked parts, which are sent in one message; beyond it the block
+	// that ends first is dropped.
+	maxBlocks = 512
 )
 
 // block is a part that is blocked, or was until less than probation ago.
@@ -45,18 +46,18 @@
 	return block{until: now.Add(min(blockDuration<<min(times-1, 8), maxBlockDuration)), since: since, times: times}
 }
 
-// set adds a block, or prolongs it, and reports whether the part was not blocked before.
-func (b blocks) set(part string, added block, now time.Time) bool {
-	_, wasBlocked := b.isBlocked(part, now)
+// set adds a block unless it is known, and reports whether it did. A known block keeps its end,
+// as the time left in a message is longer by the time on the way.
+func (b blocks) set(part string, added block) bool {
 	current, exists := b[part]
-	if exists && !added.until.After(current.until) {
+	if exists && added.times <= current.times {
 		return false
 	}
 	if !exists && len(b) >= maxBlocks {
 		b.dropFirst()
 	}
 	b[part] = added
-	return !wasBlocked
+	return true
 }
 
 // dropFirst drops the block that ends first.
--- a/internal/server/blocker/evidence.go
+++ b/internal/server/blocker/evidence.go
@@ -127,15 +127,25 @@
 	return parts
 }
 
-// convict returns the parts to block and counts their crashes against no other part. Of
-// several suspects that share crashes, the one with the most explains those of the others;
-// with as many, a part with which no request was completed goes before one that has been.
-func (e *evidence) convict(now time.Time) []string {
-	var convicted []string
+// conviction is a part to block, and when the first crash happened that counts against it.
+type conviction struct {
+	part  string
+	since time.Time
+}
+
+// convict returns those of the queried parts that are to be blocked, and counts their crashes
+// against no other part. Of several suspects that share crashes, the one with the most explains
+// those of the others; with as many, a part with which no request was completed goes before one
+// that has been.
+func (e *evidence) convict(queried []string, now time.Time) []conviction {
+	var convicted []conviction
 	for {
 		var worst []string
 		most := 0
 		for _, part := range e.suspects(now) {
+			if !slices.Contains(queried, part) {
+				continue
+			}
 			score := 2 * len(e.counted(part, now))
 			if _, hasCompleted := e.completions.find(part); !hasCompleted {
 				score++
@@ -150,7 +160,9 @@
 		if len(worst) == 0 {
 			return convicted
 		}
-		convicted = append(convicted, worst...)
+		for _, part := range worst {
+			convicted = append(convicted, conviction{part: part, since: e.counted(part, now)[0].at})
+		}
 		for _, part := range worst {
 			e.explain(part)
 		}
--- a/internal/server/blocker/evidence_test.go
+++ b/internal/server/blocker/evidence_test.go
@@ -2,27 +2,40 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
 )
 
 var start = time.Unix(1000, 0)
 
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
+// convicted returns the names of the parts that are convicted if all suspects were queried.
+func convicted(e *evidence, now time.Time) []string {
+	var parts []string
+	for _, c := range e.convict(e.suspects(now), now) {
+		parts = append(parts, c.part)
+	}
+	return parts
+}
+
 func TestPartIsConvictedOfItsCrashes(t *testing.T) {
 	is := is.New(t)
 	e := newEvidence()
 	e.addCompletion("first", at(0))
 	for i := range minCrashes {
-		is.Equal(len(e.convict(at(10))), 0)
+		is.Equal(len(convicted(e, at(10))), 0)
 		e.addCrash(fmt.Sprint("r", i), []string{"first", "bad"}, at(1+float64(i)))
 	}
 	e.addCompletion("first", at(9))
-	is.Equal(e.convict(at(10)), []string{"bad"})
-	is.Equal(len(e.convict(at(10))), 0) // its crashes count against no other part
+	is.Equal(convicted(e, at(10)), []string{"bad"})
+	is.Equal(len(convicted(e, at(10))), 0) // its crashes count against no other part
 }
 
 // TestCrashesOfOneMomentConvictNoServedPart guards against the block of a part that happened to
@@ -34,7 +47,7 @@
 	for i := range 20 {
 		e.addCrash(fmt.Sprint("r", i), []string{"first"}, at(10))
 	}
-	is.Equal(len(e.convict(at(10.5))), 0)
+	is.Equal(len(convicted(e, at(10.5))), 0)
 }
 
 // TestRepeatedCrashesOfOneReplicaCountOnce guards against the block of parts whose requests one
@@ -45,7 +58,7 @@
 	for i := range 20 {
 		e.addCrash("r1", []string{"a"}, at(float64(i)))
 	}
-	is.Equal(len(e.convict(at(20))), 0)
+	is.Equal(len(convicted(e, at(20))), 0)
 }
 
 // TestCompanionsOfACrashingPartAreNotConvicted guards against the block of parts that only ran
@@ -61,9 +74,9 @@
 			e.addCrash(r, []string{"beside"}, at(5+float64(i)))
 		}
 	}
-	is.Equal(e.convict(at(20)), []string{"bad"})
+	is.Equal(convicted(e, at(20)), []string{"bad"})
 	e.addCrash("r9", []string{"beside"}, at(21))
-	is.Equal(len(e.convict(at(21))), 0)
+	is.Equal(len(convicted(e, at(21))), 0)
 }
 
 func TestCompletionsAndAgeEndTheSuspicion(t *testing.T) {
@@ -86,7 +99,7 @@
 		part := fmt.Sprint("p", i)
 		e.addCrash(fmt.Sprint("r", i), []string{part, "all"}, at(float64(i)))
 		e.addCompletion(part, at(float64(i)))
-		b.set(part, b.next(part, start, at(float64(i))), at(float64(i)))
+		b.set(part, b.next(part, start, at(float64(i))))
 	}
 	is.True(len(e.crashes) <= maxSuspects)
 	is.Equal(len(e.crashes["all"]), maxCrashesPerPart)
@@ -102,20 +115,53 @@
 	is.True(keys[0] != keys[1])
 }
 
+// TestUnqueriedPartIsNotConvicted guards against the block of a part that became suspected after
+// the other instances were asked.
+func TestUnqueriedPartIsNotConvicted(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	for i := range minCrashes {
+		e.addCrash(fmt.Sprint("r", i), []string{"a"}, at(float64(i)))
+	}
+	is.Equal(len(e.convict([]string{"b"}, at(5))), 0)
+	found := e.convict([]string{"a"}, at(5))
+	is.Equal(found, []conviction{{part: "a", since: at(0)}})
+}
+
 func TestBlocksEndAndGrow(t *testing.T) {
 	is := is.New(t)
 	b := make(blocks)
-	is.True(b.set("a", b.next("a", start, at(0)), at(0)))
-	is.True(!b.set("a", b["a"], at(1))) // known
+	is.True(b.set("a", b.next("a", start, at(0))))
+	late := b["a"]
+	late.until = late.until.Add(time.Second)
+	is.True(!b.set("a", late)) // known, and longer by the time on the way
+	is.Equal(b["a"].until, at(0).Add(blockDuration))
 	_, ok := b.isBlocked("a", at(1))
 	is.True(ok)
 	end := at(0).Add(blockDuration)
 	_, ok = b.isBlocked("a", end)
 	is.True(!ok)
 	is.True(b.isOnProbation("a", end))
-	is.True(b.set("a", b.next("a", end, end), end))
+	is.True(b.set("a", b.next("a", end, end)))
 	_, ok = b.isBlocked("a", end.Add(2*blockDuration-time.Second))
 	is.True(ok)
 	b.dropExpired(end.Add(2*blockDuration + probation))
 	is.Equal(len(b), 0)
 }
+
+// TestLongestMessagesFitAFrame guards against blocks, reports and queries that cannot be sent.
+func TestLongestMessagesFitAFrame(t *testing.T) {
+	is := is.New(t)
+	part := strings.Repeat("x", maxPartBytes)
+	message := &encoder.PromptParts{Incarnation: part}
+	for range maxBlocks {
+		message.Blocks = append(message.Blocks, encodeBlock(part, block{until: at(1e9), times: 100}, at(0)))
+	}
+	is.True(proto.Size(message) < encoder.MaxFrameBytes)
+	message.Blocks = nil
+	for range maxParts {
+		message.CrashedParts, message.QueriedParts = append(message.CrashedParts, part), append(message.QueriedParts, part)
+		message.Completions = append(message.Completions, &encoder.PartCompletion{Part: part, AgeMs: 1 << 30})
+	}
+	is.True(proto.Size(message) < encoder.MaxFrameBytes)
+}
