--- a/internal/server/blocker/evidence.go
+++ b/internal/server/blocker/evidence.go
@@ -140,33 +140,38 @@
 func (e *evidence) convict(queried []string, now time.Time) []conviction {
 	var convicted []conviction
 	for {
-		var worst []string
-		most := 0
-		for _, part := range e.suspects(now) {
-			if !slices.Contains(queried, part) {
-				continue
-			}
-			score := 2 * len(e.counted(part, now))
-			if _, hasCompleted := e.completions.find(part); !hasCompleted {
-				score++
-			}
-			if score > most {
-				worst, most = nil, score
-			}
-			if score == most {
-				worst = append(worst, part)
-			}
-		}
+		worst := e.worstSuspects(queried, now)
 		if len(worst) == 0 {
 			return convicted
 		}
-		for _, part := range worst {
-			convicted = append(convicted, conviction{part: part, since: e.counted(part, now)[0].at})
+		convicted = append(convicted, worst...)
+		for _, c := range worst {
+			e.explain(c.part)
+		}
+	}
+}
+
+// worstSuspects returns the suspects among the queried parts that the most speaks against.
+func (e *evidence) worstSuspects(queried []string, now time.Time) []conviction {
+	var worst []conviction
+	most := 0
+	for _, part := range queried {
+		counted := e.counted(part, now)
+		if len(counted) < minCrashes {
+			continue
+		}
+		score := 2 * len(counted)
+		if _, hasCompleted := e.completions.find(part); !hasCompleted {
+			score++
+		}
+		if score > most {
+			worst, most = nil, score
 		}
-		for _, part := range worst {
-			e.explain(part)
+		if score == most {
+			worst = append(worst, conviction{part: part, since: counted[0].at})
 		}
 	}
+	return worst
 }
 
 // explain counts the crashes under a part that is blocked against no other part.
