Block a part of prompts only while its service completes other requests

All later requests were refused, so that no completed one could refute the block.

Cause: a part was suspected after crashes of four incarnations if no request with it had been completed since 2 s before the first. When the engines of a service fail for longer than that, and not because of a request, this holds for every part.

Change: a part is blocked only if requests of the same service without it were completed since the first of these crashes, by any instance. Reports name the service, and queries ask for it.

--- a/internal/server/assembler/prompts_test.go
+++ b/internal/server/assembler/prompts_test.go
@@ -19,8 +19,9 @@
 	instances := startLinkedInstances(t, environment, deployment.Datacentres()[0].Name())
 	parts := []string{"bad"}
 	for i := range 6 {
-		instances[fmt.Sprintf("j-%d", i%3)].Blocker().RecordCrash(fmt.Sprintf("engine-%d", i), parts)
+		instances[fmt.Sprintf("j-%d", i%3)].Blocker().RecordCrash("engines", fmt.Sprintf("engine-%d", i), parts)
 	}
+	instances["j-0"].Blocker().RecordCompletion("engines", []string{"good"})
 	for _, instance := range instances {
 		isBlocked := func() bool {
 			wait, _ := instance.Blocker().BlockedFor(parts)
--- a/internal/server/blocker/blocker.go
+++ b/internal/server/blocker/blocker.go
@@ -152,13 +152,14 @@
 }
 
 // RecordCompletion implements server.PromptBlocker.
-func (b *Blocker) RecordCompletion(parts []string) {
+func (b *Blocker) RecordCompletion(service string, parts []string) {
 	if len(parts) == 0 {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.timer.Now()
+	b.evidence.addCompletion(serviceKey(service), now)
 	for _, key := range partKeys(parts) {
 		b.evidence.addCompletion(key, now)
 		if b.unblock(key, now) {
@@ -169,15 +170,15 @@
 
 // RecordCrash implements server.PromptBlocker. It does not wait for the reports to other
 // instances.
-func (b *Blocker) RecordCrash(incarnation string, parts []string) {
+func (b *Blocker) RecordCrash(service, incarnation string, parts []string) {
 	if len(parts) == 0 {
 		return
 	}
 	b.crashCount.Add(1)
 	keys := partKeys(parts)
-	b.addCrash(incarnation, keys, b.timer.Now())
+	b.addCrash(service, incarnation, keys, b.timer.Now())
 	for _, id := range b.links.HolderIDs(holderName, holderCount) {
-		b.send(id, &encoder.PromptParts{Incarnation: incarnation, CrashedParts: keys})
+		b.send(id, &encoder.PromptParts{Service: service, Incarnation: incarnation, CrashedParts: keys})
 	}
 }
 
@@ -185,7 +186,7 @@
 func (b *Blocker) HandleMessage(from string, message *encoder.PromptParts) {
 	now := b.timer.Now()
 	if parts := message.GetCrashedParts(); len(parts) > 0 {
-		b.addCrash(message.GetIncarnation(), partKeys(parts), now)
+		b.addCrash(message.GetService(), message.GetIncarnation(), partKeys(parts), now)
 	}
 	b.addCompletions(message.GetCompletions(), now)
 	b.addBlocks(message.GetBlocks(), now)
@@ -194,12 +195,13 @@
 	}
 }
 
-// completionsOf returns when requests with the parts were last completed here.
-func (b *Blocker) completionsOf(parts []string, now time.Time) []*encoder.PartCompletion {
+// completionsOf returns when requests with the parts, or of the services, that the keys name were
+// last completed here.
+func (b *Blocker) completionsOf(keys []string, now time.Time) []*encoder.PartCompletion {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []*encoder.PartCompletion
-	for _, key := range partKeys(parts) {
+	for _, key := range keys {
 		if at, ok := b.evidence.completions.find(key); ok {
 			list = append(list, &encoder.PartCompletion{Part: key, AgeMs: uint32(max(now.Sub(at).Milliseconds(), 0))})
 		}
@@ -208,7 +210,7 @@
 }
 
 // addCrash adds a crash to the evidence, and schedules a query if a part is suspected now.
-func (b *Blocker) addCrash(incarnation string, keys []string, now time.Time) {
+func (b *Blocker) addCrash(service, incarnation string, keys []string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, key := range keys {
@@ -218,7 +220,7 @@
 			return
 		}
 	}
-	b.evidence.addCrash(incarnation, keys, now)
+	b.evidence.addCrash(service, incarnation, keys, now)
 	for _, key := range keys {
 		if counted := b.evidence.counted(key, now); b.ctx.Err() == nil && b.blocks.isOnProbation(key, now) && len(counted) > 0 {
 			b.evidence.explain(key)
@@ -234,19 +236,19 @@
 }
 
 // inquire asks all other instances whether they have completed requests with the suspected
-// parts, and blocks the parts that remain suspected. It ends when no part is suspected.
+// parts, and any at all, and blocks the parts that remain suspected although other requests are
+// completed. It ends when no part is suspected.
 func (b *Blocker) inquire() {
 	for server.Sleep(b.ctx, b.timer, settleDelay) == nil {
 		b.mu.Lock()
-		parts := b.evidence.suspects(b.timer.Now())
+		parts, keys := b.evidence.queries(b.timer.Now())
 		b.isInquiring = len(parts) > 0
 		b.mu.Unlock()
 		if len(parts) == 0 {
 			return
 		}
-		parts = parts[:min(len(parts), maxParts)]
 		for _, id := range b.otherIDs() {
-			b.send(id, &encoder.PromptParts{QueriedParts: parts})
+			b.send(id, &encoder.PromptParts{QueriedParts: keys})
 		}
 		// An instance that does not respond is not waited for longer: the part must be
 		// blocked though instances are down.
--- a/internal/server/blocker/blocker_test.go
+++ b/internal/server/blocker/blocker_test.go
@@ -131,14 +131,14 @@
 	replica := f.intN(18)
 	if crashes {
 		e.crashedAt = append(e.crashedAt, time.Now())
-		m.RecordCrash(fmt.Sprintf("r-%d/%d", replica, e.born[replica]), parts)
+		m.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), parts)
 		// Another request that ran there, at any instance.
 		victim := f.members[f.intN(len(f.members))]
-		victim.RecordCrash(fmt.Sprintf("r-%d/%d", replica, e.born[replica]), []string{"first", fmt.Sprint("doc", f.intN(20))})
+		victim.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), []string{"first", fmt.Sprint("doc", f.intN(20))})
 		e.born[replica]++
 		return true
 	}
-	m.RecordCompletion(parts)
+	m.RecordCompletion("engine", parts)
 	return true
 }
 
@@ -204,9 +204,10 @@
 		defer f.stop()
 		f.members[8].isCut = true
 		for i := range 6 {
-			f.members[8].RecordCrash(fmt.Sprint("r-", i), []string{"a"})
+			f.members[8].RecordCrash("engine", fmt.Sprint("r-", i), []string{"a"})
+			f.members[8].RecordCompletion("engine", []string{"b"})
 			for _, m := range f.members[:8] {
-				m.RecordCompletion([]string{"a"})
+				m.RecordCompletion("engine", []string{"a"})
 			}
 			time.Sleep(time.Second)
 		}
@@ -232,8 +233,10 @@
 		f := newFleet(9, 1)
 		defer f.stop()
 		for i := range 6 {
-			f.members[i].RecordCrash(fmt.Sprint("r-", i), []string{"a"})
+			f.members[i].RecordCrash("engine", fmt.Sprint("r-", i), []string{"a"})
 		}
+		time.Sleep(100 * time.Millisecond)
+		f.members[8].RecordCompletion("engine", []string{"b"})
 		time.Sleep(time.Second)
 		for end := time.Now().Add(10 * time.Minute); time.Now().Before(end); time.Sleep(time.Second) {
 			wait, _ := f.members[0].BlockedFor([]string{"a"})
@@ -243,7 +246,7 @@
 			wait, _ := m.BlockedFor([]string{"a"})
 			is.Equal(wait, time.Duration(0))
 		}
-		f.members[3].RecordCrash("r-9", []string{"a"}) // one more suffices now
+		f.members[3].RecordCrash("engine", "r-9", []string{"a"}) // one more suffices now
 		time.Sleep(time.Second)
 		for _, m := range f.members {
 			wait, _ := m.BlockedFor([]string{"a"})
--- a/internal/server/blocker/evidence.go
+++ b/internal/server/blocker/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -22,12 +23,13 @@
 	maxExplained      = 4096
 	maxPartBytes      = 64
 	maxParts          = 256
+	maxServices       = 32
 )
 
-// crash is the end of an incarnation of a replica while it ran a request.
+// crash is the end of an incarnation of a service's replica while it ran a request.
 type crash struct {
-	incarnation string
-	at          time.Time
+	service, incarnation string
+	at                   time.Time
 }
 
 // evidence is what is known for and against the parts of prompts. It uses no clock and is not
@@ -35,7 +37,8 @@
 type evidence struct {
 	// crashes holds, by part, the crashes under requests with the part.
 	crashes map[string][]crash
-	// completions holds, by part, when a request with the part was last completed.
+	// completions holds, by part, when a request with the part was last completed, and by
+	// serviceKey, when any request was.
 	completions recentTimes
 	// explained holds the incarnations that crashed under requests with a part that was
 	// blocked. They count against no other part.
@@ -54,8 +57,12 @@
 	}
 }
 
+// serviceKey returns the key of a service in evidence.completions. No part has it, as it is
+// longer than any.
+func serviceKey(service string) string { return strings.Repeat("/", maxPartBytes) + service }
+
 // addCrash records that an incarnation crashed under a request with the parts.
-func (e *evidence) addCrash(incarnation string, parts []string, at time.Time) {
+func (e *evidence) addCrash(service, incarnation string, parts []string, at time.Time) {
 	incarnation = e.nameIncarnation(incarnation, at)
 	for _, part := range parts {
 		known := e.crashes[part]
@@ -65,7 +72,7 @@
 		if known == nil && len(e.crashes) >= maxSuspects {
 			e.dropOldestSuspect()
 		}
-		known = append(known, crash{incarnation: incarnation, at: at})
+		known = append(known, crash{service: service, incarnation: incarnation, at: at})
 		slices.SortFunc(known, func(a, b crash) int { return a.at.Compare(b.at) })
 		e.crashes[part] = known[max(0, len(known)-maxCrashesPerPart):]
 	}
@@ -133,6 +140,28 @@
 	since time.Time
 }
 
+// isContrasted reports whether requests without the part have been completed since the first of the
+// crashes that count against it, by the service at which it crashed. Otherwise the service may
+// fail for all requests alike. Requests with the part were completed before these crashes only.
+func (e *evidence) isContrasted(counted []crash) bool {
+	completedAt, ok := e.completions.find(serviceKey(counted[len(counted)-1].service))
+	return ok && completedAt.After(counted[0].at)
+}
+
+// queries returns the keys of the completions that other instances are asked for: up to maxParts
+// suspects, and their services.
+func (e *evidence) queries(now time.Time) (parts, keys []string) {
+	parts = e.suspects(now)
+	parts = parts[:min(len(parts), maxParts)]
+	for _, part := range parts {
+		counted := e.counted(part, now)
+		if key := serviceKey(counted[len(counted)-1].service); len(keys) < maxServices && !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	return parts, append(keys, parts...)
+}
+
 // convict returns those of the queried parts that are to be blocked, and counts their crashes
 // against no other part. Of several suspects that share crashes, the one with the most explains
 // those of the others; with as many, a part with which no request was completed goes before one
@@ -157,7 +186,7 @@
 	most := 0
 	for _, part := range queried {
 		counted := e.counted(part, now)
-		if len(counted) < minCrashes {
+		if len(counted) < minCrashes || !e.isContrasted(counted) {
 			continue
 		}
 		score := 2 * len(counted)
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -168,11 +168,11 @@
 	// BlockedFor returns for how long requests with one of the parts must not be sent to
 	// replicas, and that part; zero if none is blocked.
 	BlockedFor(parts []string) (wait time.Duration, part string)
-	// RecordCrash records that an incarnation of a replica ended a request with the parts
+	// RecordCrash records that an incarnation of a service's replica ended a request with the parts
 	// without a response, or within it.
-	RecordCrash(incarnation string, parts []string)
-	// RecordCompletion records that a replica completed a request with the parts.
-	RecordCompletion(parts []string)
+	RecordCrash(service, incarnation string, parts []string)
+	// RecordCompletion records that a service completed a request with the parts.
+	RecordCompletion(service string, parts []string)
 }
 
 // Instance is a process of the deployment, as its row in the store describes it.
--- a/internal/server/relayer/prompt.go
+++ b/internal/server/relayer/prompt.go
@@ -34,11 +34,11 @@
 	switch outcome {
 	case attemptComplete:
 		if f.outcome == outcomeAnswered && f.status < http.StatusMultipleChoices {
-			f.PromptBlocker.RecordCompletion(f.sharedParts)
+			f.PromptBlocker.RecordCompletion(f.service, f.sharedParts)
 		}
 	case attemptNoResponse, attemptTruncated, attemptStreamBroken:
 		if errors.Is(context.Cause(f.attemptCtx), context.Canceled) && f.ctx.Err() == nil {
-			f.PromptBlocker.RecordCrash(replica.Incarnation(), f.sharedParts)
+			f.PromptBlocker.RecordCrash(f.service, replica.Incarnation(), f.sharedParts)
 		}
 	default:
 		// The replica did not begin to respond, or responded that it failed.
--- a/internal/server/runner/attempt.go
+++ b/internal/server/runner/attempt.go
@@ -75,9 +75,9 @@
 func (c *run) recordPrompt(a *attempt, pickRequest *server.PickRequest, err error) {
 	switch {
 	case err == nil:
-		c.runner.dependencies.PromptBlocker.RecordCompletion(pickRequest.SharedParts)
+		c.runner.dependencies.PromptBlocker.RecordCompletion(pickRequest.Service, pickRequest.SharedParts)
 	case errors.Is(err, server.ErrConnectionLost):
-		c.runner.dependencies.PromptBlocker.RecordCrash(a.upstream.ID(), pickRequest.SharedParts)
+		c.runner.dependencies.PromptBlocker.RecordCrash(pickRequest.Service, a.upstream.ID(), pickRequest.SharedParts)
 	}
 }
 
--- a/internal/server/runner/blocked_prompt_test.go
+++ b/internal/server/runner/blocked_prompt_test.go
@@ -31,8 +31,8 @@
 type noBlocker struct{}
 
 func (noBlocker) BlockedFor([]string) (time.Duration, string) { return 0, "" }
-func (noBlocker) RecordCrash(string, []string)                {}
-func (noBlocker) RecordCompletion([]string)                   {}
+func (noBlocker) RecordCrash(string, string, []string)        {}
+func (noBlocker) RecordCompletion(string, []string)           {}
 
 // noLinks are the links of an instance without others.
 type noLinks struct{}
