Age leaders' announcements from the store's response

What callers saw: changes that were acknowledged and not in force in time, and requests to replicas that had left, on deployments of more than 16 instances.

Cause: a leader announced for 2.5 s after the store's last response that it watches a table, and others relied on the announcement for 1.2 s from its receipt. If the calls of all leaders hang right after a response, a change was known 3.7 s later, not within 3 s. Knowledge that is passed on was aged from its receipt instead of its origin.

Change: announcements state the age of the store's last response and count until that response is 2.4 s old. A leader's watch after a change is shorter by the wait before it, so that two responses are never more than 2 s apart.

--- a/internal/server/gossiper/gossiper.go
+++ b/internal/server/gossiper/gossiper.go
@@ -104,8 +104,8 @@
 	// announcers are the IDs of those that announced it.
 	receivedVersion uint64
 	announcers      []string
-	// leaderSeenAt is when each leader last announced that it watches the table.
-	leaderSeenAt map[string]time.Time
+	// leaderWatches holds by ID what each leader last announced of its watch of the table.
+	leaderWatches map[string]leaderWatch
 	// isFetching is set from when a fetch is scheduled until none is needed.
 	isFetching bool
 }
@@ -114,7 +114,7 @@
 func New(log logr.Logger, timer server.Timer, tables Tables, links PeerLinks) *Gossiper {
 	g := &Gossiper{log: log, timer: timer, tables: tables, links: links, topics: make(map[string]*topic)}
 	for _, name := range tables.Names() {
-		g.topics[name] = &topic{leaderSeenAt: make(map[string]time.Time)}
+		g.topics[name] = &topic{leaderWatches: make(map[string]leaderWatch)}
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.stopTimer = timer.Every(leaderInterval, func(now time.Time) { g.announceLeadership(now) })
@@ -201,7 +201,7 @@
 func (g *Gossiper) HandleAnnouncement(from string, announcement *encoder.VersionAnnouncement) {
 	for _, change := range announcement.GetTables() {
 		if announcement.GetIsLeader() {
-			g.recordLeader(from, change.GetTable())
+			g.recordLeader(from, change)
 		}
 		g.handleTableVersion(from, change)
 	}
@@ -324,7 +324,7 @@
 	if age >= recoveryMaxAge {
 		return 0
 	}
-	return uint32(max(age, 0).Milliseconds()) + 1
+	return encodeAge(age)
 }
 
 // recoveryTime returns the time that an age in a message states; zero for none.
@@ -332,7 +332,16 @@
 	if age == 0 {
 		return time.Time{}
 	}
-	return g.timer.Now().Add(-time.Duration(age-1) * time.Millisecond)
+	return g.timer.Now().Add(-decodeAge(age))
+}
+
+// encodeAge returns an age as messages state it: one more than its milliseconds, so that zero
+// means none.
+func encodeAge(age time.Duration) uint32 { return uint32(max(age, 0).Milliseconds()) + 1 }
+
+// decodeAge returns an age that a message states; zero for none.
+func decodeAge(age uint32) time.Duration {
+	return time.Duration(max(age, 1)-1) * time.Millisecond
 }
 
 func encodeRow(row server.StoredRow) *encoder.StoreRow {
--- a/internal/server/gossiper/leader.go
+++ b/internal/server/gossiper/leader.go
@@ -10,15 +10,15 @@
 const (
 	// leaderInterval is how often a leader announces the tables that it watches.
 	leaderInterval = 400 * time.Millisecond
-	// leaderMaxAge is how long such an announcement is valid. It is short, so that even
-	// after leaders fail a change reaches every instance well within the 3 s that the
-	// platform allows large deployments.
+	// leaderMaxAge is how long such an announcement is valid.
 	leaderMaxAge = 1200 * time.Millisecond
 	// LeaderWatchTimeout is how long the store may hold a leader's watch open.
 	LeaderWatchTimeout = 2 * time.Second
-	// responseMaxAge is the age of the store's last response for a table from which a
-	// leader does not announce the table any more.
-	responseMaxAge = LeaderWatchTimeout + 500*time.Millisecond
+	// responseMaxAge is the age of the store's last response to a leader from which the
+	// leader does not count as watching the table. It is well below the 3 s in which the
+	// platform wants a change to be in force on large deployments: the calls of all leaders
+	// may hang right after that response.
+	responseMaxAge = LeaderWatchTimeout + leaderInterval
 	// enoughLeaders is the number of leaders that must watch a table before the other
 	// instances rely on them.
 	enoughLeaders = 2
@@ -46,19 +46,27 @@
 	}
 	now, watchingLeaders := g.timer.Now(), 0
 	for _, id := range leaders {
-		if at, ok := t.leaderSeenAt[id]; ok && now.Sub(at) < leaderMaxAge {
+		if watch, ok := t.leaderWatches[id]; ok && now.Sub(watch.announcedAt) < leaderMaxAge && now.Sub(watch.respondedAt) < responseMaxAge {
 			watchingLeaders++
 		}
 	}
 	return watchingLeaders >= enoughLeaders
 }
 
+// leaderWatch is what a leader announced of its watch of a table.
+type leaderWatch struct {
+	// announcedAt is when the announcement was received, and respondedAt when the store last
+	// responded to the leader. Announcements without that time count from their receipt.
+	announcedAt, respondedAt time.Time
+}
+
 // recordLeader records that a leader announced that it watches a table.
-func (g *Gossiper) recordLeader(from, table string) {
+func (g *Gossiper) recordLeader(from string, change *encoder.TableVersion) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t := g.topics[table]; t != nil {
-		t.leaderSeenAt[from] = g.timer.Now()
+	if t := g.topics[change.GetTable()]; t != nil {
+		now := g.timer.Now()
+		t.leaderWatches[from] = leaderWatch{announcedAt: now, respondedAt: now.Add(-decodeAge(change.GetResponseAgeMs()))}
 	}
 }
 
@@ -71,8 +79,11 @@
 	}
 	announcement := &encoder.VersionAnnouncement{IsLeader: true}
 	for _, name := range g.tables.Names() {
-		if version := g.tables.Version(name); version > 0 && now.Sub(g.tables.LastResponse(name)) < responseMaxAge {
-			announcement.Tables = append(announcement.Tables, &encoder.TableVersion{Table: name, Version: version, BaseVersion: version})
+		responseAge := now.Sub(g.tables.LastResponse(name))
+		if version := g.tables.Version(name); version > 0 && responseAge < responseMaxAge {
+			announcement.Tables = append(announcement.Tables, &encoder.TableVersion{
+				Table: name, Version: version, BaseVersion: version, ResponseAgeMs: encodeAge(responseAge),
+			})
 		}
 	}
 	g.broadcast(announcement)
--- a/internal/server/gossiper/silent_leaders_test.go
+++ b/internal/server/gossiper/silent_leaders_test.go
@@ -31,3 +31,22 @@
 		})
 	}
 }
+
+// TestOnlyLeadersCallAQuietStore guards against instances that stop to rely on leaders between two
+// responses of the store, and then call it themselves.
+func TestOnlyLeadersCallAQuietStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(85, "i-0", "i-1", "i-2", "i-3", "i-4")
+		defer f.stop()
+		s := newFakeStore()
+		f.watchStore(s)
+		time.Sleep(30 * time.Second)
+		s.write("row", "new", false) // all watches end at once, and stay in phase
+		time.Sleep(time.Second)
+		before := s.callCount()
+		time.Sleep(20 * time.Second)
+		// Five leaders watch three tables: one call every 2 s.
+		is.True(s.callCount()-before <= 5*3*(10+1))
+	})
+}
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -134,12 +134,14 @@
 	return hasLeader
 }
 
-// currentWatchTimeout returns how long the store may hold the next watch open.
+// currentWatchTimeout returns how long the store may hold the next watch open. A leader's is
+// shorter by its wait after a change, so that the time between two responses is bounded.
 func (f *follower) currentWatchTimeout() time.Duration {
-	if f.registrar.isLeader() {
-		return f.registrar.leaderWatchTimeout
+	if !f.registrar.isLeader() {
+		return f.watchTimeout
 	}
-	return f.watchTimeout
+	waited := f.registrar.timer.Now().Sub(f.registrar.LastResponse(f.table))
+	return f.registrar.leaderWatchTimeout - min(waited, batchDelay)
 }
 
 // delayAfterChange returns the wait before the next watch after a change. It grows
