End the watches of the store in turns

What callers saw: a change that was acknowledged was not in force in time, on small deployments too.

Cause: a watch lasts up to 12 s, its call 14 s, and after a change those of all instances begin at once. Watches that an outage or a restore interrupts and that then miss changes keep all instances from reading the store until they end.

Change: the watches of the plan and the replicas end in turns, one each second over all instances; the instance whose watch ends reads the change and announces it. Stand-in stores can leave watches without changes, and the soak test does.

--- a/internal/server/gossiper/gossiper_test.go
+++ b/internal/server/gossiper/gossiper_test.go
@@ -79,7 +79,8 @@
 				m.viewCount.Add(1)
 				m.gossiper.NotifyChanged()
 			}),
-			registrar.WithLeaders(func(table string) bool { return m.gossiper.HasLeader(table) }, func() bool { return m.gossiper.IsLeader() }, gossiper.LeaderWatchTimeout))
+			registrar.WithLeaders(func(table string) bool { return m.gossiper.HasLeader(table) }, func() bool { return m.gossiper.IsLeader() }, gossiper.LeaderWatchTimeout),
+			registrar.WithWatchTurns(func() (index, total int) { return i, count }))
 		m.gossiper = gossiper.New(logr.Discard(), f.timer, m, m)
 		f.members = append(f.members, m)
 	}
--- a/internal/server/gossiper/leader_test.go
+++ b/internal/server/gossiper/leader_test.go
@@ -27,8 +27,15 @@
 	// ends, refused those whose calls fail at once.
 	unavailable map[string]bool
 	refused     map[string]bool
+	// outages counts the outages. Watches that an outage interrupts miss all changes; they
+	// are answered when their wait ends, or never if isSilentAfterOutage is set.
+	outages             int
+	isSilentAfterOutage bool
 }
 
+// callTimeout is how much longer than its wait a call may take.
+const callTimeout = 2 * time.Second
+
 // storeClient is the connection of one member to a fakeStore.
 type storeClient struct {
 	*fakeStore
@@ -72,6 +79,14 @@
 	return values
 }
 
+// interrupt makes the watches in progress miss all changes.
+func (s *fakeStore) interrupt(isSilent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outages++
+	s.isSilentAfterOutage = isSilent
+}
+
 // setUnavailable makes the calls of instances hang, or lets them through again.
 func (s *fakeStore) setUnavailable(ids []string, unavailable bool) {
 	s.mu.Lock()
@@ -105,8 +120,11 @@
 }
 
 func (c *storeClient) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]server.StoredRow, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
 	c.mu.Lock()
 	c.calls++
+	outages := c.outages
 	c.mu.Unlock()
 	end := time.After(wait)
 	for {
@@ -122,8 +140,20 @@
 		}
 		version, _ := server.JoinVersion(c.era, c.version)
 		changed, unavailable, refused := c.changed, c.unavailable[c.id], c.refused[c.id]
+		isInterrupted, isSilent := c.outages != outages, c.isSilentAfterOutage
 		c.mu.Unlock()
 		switch {
+		case isInterrupted && isSilent:
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		case isInterrupted && end != nil:
+			select {
+			case <-end:
+				end = nil
+				continue
+			case <-ctx.Done():
+				return nil, 0, ctx.Err()
+			}
 		case isRestored && !refused && !unavailable:
 			return nil, 0, server.ErrNotFound
 		case refused:
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -185,6 +185,14 @@
 	return available
 }
 
+// Position returns the position of this instance in the order of AvailableInstances, and their
+// number.
+func (l *Linker) Position() (index, count int) {
+	available := l.AvailableInstances()
+	index = slices.IndexFunc(available, func(instance server.Instance) bool { return instance.ID == l.self.ID })
+	return max(index, 0), len(available)
+}
+
 // MemberCount returns the number of instances that have rows in the store, this one
 // included, whether or not they respond.
 func (l *Linker) MemberCount() int {
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -12,6 +12,9 @@
 const (
 	// watchTimeout is how long the store may hold a watch open without a change.
 	watchTimeout = 12 * time.Second
+	// watchTurn is the time between the ends of two instances' watches of one table, where
+	// they take turns; see WithWatchTurns.
+	watchTurn = time.Second
 	// instanceWatchTimeout is the watchTimeout of the table of instances, whose changes
 	// are announced over links too.
 	instanceWatchTimeout = 25 * time.Second
@@ -57,6 +60,9 @@
 	isBehind bool
 	// quickResponses counts the watches in a row that ended quickly without a change.
 	quickResponses int
+	// isTurnDue is set after a change, which ends the watches of all instances at once, until
+	// the next watch.
+	isTurnDue bool
 	// failedSince is when the first of the failed calls failed.
 	failedSince time.Time
 	// hasLeader is set while leaders watch the table, so that this instance need not.
@@ -110,7 +116,7 @@
 	f.registrar.ApplyChanges(f.table, rows, version, recoveredAt)
 	f.version = version
 	if len(rows) > 0 {
-		f.quickResponses = 0
+		f.quickResponses, f.isTurnDue = 0, true
 		return f.delayAfterChange()
 	}
 	if f.registrar.timer.Now().Sub(startedAt) > quickResponseDelay {
@@ -138,12 +144,28 @@
 // shorter by its wait after a change, so that the time between two responses is bounded.
 func (f *follower) currentWatchTimeout() time.Duration {
 	if !f.registrar.isLeader() {
-		return f.watchTimeout
+		return f.turnTimeout()
 	}
 	waited := f.registrar.timer.Now().Sub(f.registrar.LastResponse(f.table))
 	return f.registrar.leaderWatchTimeout - min(waited, batchDelay)
 }
 
+// turnTimeout returns how long the store may hold the next watch of an instance that is not a
+// leader. Where the instances take turns, their watches end one after the other.
+func (f *follower) turnTimeout() time.Duration {
+	isTurnDue := f.isTurnDue
+	f.isTurnDue = false
+	if f.registrar.watchPosition == nil || f.table == TableInstances {
+		return f.watchTimeout
+	}
+	index, count := f.registrar.watchPosition()
+	round := min(time.Duration(count)*watchTurn, f.watchTimeout)
+	if isTurnDue {
+		return round * time.Duration(index+1) / time.Duration(count)
+	}
+	return round
+}
+
 // delayAfterChange returns the wait before the next watch after a change. It grows
 // with the number of instances, but not for leaders.
 func (f *follower) delayAfterChange() time.Duration {
@@ -168,7 +190,7 @@
 	recoveredAt := f.recordSuccess(wasRestored)
 	f.recordVersion(version)
 	f.registrar.Replace(f.table, rows, version, recoveredAt)
-	f.version, f.isLoaded = version, true
+	f.version, f.isLoaded, f.isTurnDue = version, true, true
 	return f.delayAfterChange()
 }
 
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -76,6 +76,7 @@
 	hasLeader          func(table string) bool
 	isLeader           func() bool
 	leaderWatchTimeout time.Duration
+	watchPosition      func() (index, count int)
 }
 
 // Option sets a property of a Registrar.
@@ -93,6 +94,13 @@
 	return func(r *Registrar) { r.hasLeader, r.isLeader, r.leaderWatchTimeout = hasLeader, isLeader, watchTimeout }
 }
 
+// WithWatchTurns makes the watches of the plan and the replicas end in turns, so that an instance
+// soon notices changes that no watch in progress delivers, and passes them on. position returns the
+// position of this instance among all.
+func WithWatchTurns(position func() (index, count int)) Option {
+	return func(r *Registrar) { r.watchPosition = position }
+}
+
 // New returns a Registrar whose tables are empty.
 func New(log logr.Logger, timer server.Timer, decoder server.RowDecoder, names TableNames, options ...Option) *Registrar {
 	r := &Registrar{
