Keep the limits that replicas state over all instances

What callers saw: a replica in need that named how many requests a second it takes from all instances together got as many as any other.

Cause: the header was read nowhere. The record shows unchanged rates before and after it, in first attempts of all instances.

Change: package throttler. Each response states a limit, or its end, of its replica; changes are announced to all instances. The owner of a service's limits grants requests from a token bucket for each replica. What a limited replica does not take goes to the next one in the order of affinity or load. If all replicas have limits, the token is taken before stages are computed, the urgent ranks first, and a request without one is refused at once. Stage calls and releases of results are taken from the limit too.

--- a/internal/server/batcher/calls.go
+++ b/internal/server/batcher/calls.go
@@ -143,12 +143,21 @@
 	}
 }
 
+// retryAfter returns the time after which a withheld call may be made; zero if unknown.
+func retryAfter(err error) time.Duration {
+	var fault *server.Fault
+	if errors.As(err, &fault) {
+		return fault.RetryAfter()
+	}
+	return 0
+}
+
 // handleCallError blocks the replica of a failed call for a while and retries the
 // call's pieces. timedOut is set when this owner cancelled the call. The caller holds mu.
 func (o *Owner) handleCallError(s *ownedService, c *call, err error, timedOut bool, now time.Time) {
 	b := c.replica
 	if errors.Is(err, server.ErrWithheld) {
-		b.blockedUntil = now.Add(overloadBackoff)
+		b.blockedUntil = now.Add(max(overloadBackoff, retryAfter(err)))
 		for _, p := range c.pieces {
 			if !p.task.isFinished {
 				s.queue.enqueue(p) // no replica has received it, so this is not a retry
--- a/internal/server/batcher/release.go
+++ b/internal/server/batcher/release.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,9 +65,33 @@
 	calls.Wait()
 }
 
+// postponeRelease queues the release of results again after a wait, except those that their replica
+// has dropped by then.
+func (o *Owner) postponeRelease(s *ownedService, holder *server.Replica, handles []string, wait time.Duration) {
+	o.timer.After(wait, func(now time.Time) {
+		o.wg.Go(func() {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			b := s.queue.replicas[holder.ID]
+			if b == nil {
+				return
+			}
+			b.expireResults(now)
+			o.queueReleases(s, slices.DeleteFunc(handles, func(handle string) bool {
+				_, isStored := b.results[handle]
+				return !isStored
+			}))
+		})
+	})
+}
+
 // recordRelease subtracts released results from the used memory of their replica. err is
 // the error of the release call; after a failed one the results stay until they expire.
 func (o *Owner) recordRelease(s *ownedService, holder *server.Replica, handles []string, err error) {
+	if errors.Is(err, server.ErrWithheld) {
+		o.postponeRelease(s, holder, handles, max(overloadBackoff, retryAfter(err)))
+		return
+	}
 	if err != nil {
 		o.log.Info("releasing results failed; they stay until they expire", "service", s.name, "replica", holder.ID, "results", len(handles), "cause", err.Error())
 		return
--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -33,6 +33,7 @@
 	"oriolemill.example/oriolemill/internal/server/registrar"
 	"oriolemill.example/oriolemill/internal/server/relayer"
 	"oriolemill.example/oriolemill/internal/server/stager"
+	"oriolemill.example/oriolemill/internal/server/throttler"
 	"oriolemill.example/oriolemill/internal/server/ticker"
 )
 
@@ -66,6 +67,7 @@
 	submitter         *batcher.Submitter
 	pinner            *pinner.Pinner
 	blocker           *blocker.Blocker
+	throttler         *throttler.Throttler
 	chooser           *chooser.Chooser
 	dialer            *dialer.Dialer
 	relayer           *relayer.Relayer
@@ -115,8 +117,9 @@
 	i.gossiper = gossiper.New(log, timer, i.registrar, i.linker)
 	budget := budgeter.New(timer, settings.Bounds.RetryRatio, settings.Bounds.RetrySlack, settings.Bounds.RetryWindow, i.linker.MemberCount)
 	i.dialer = dialer.New(timer)
+	i.throttler = throttler.New(log, timer, settings.ID, i.linker)
 	upstreamExchanger := exchanger.New(i.dialer, adapter.Codec, exchanger.WithServing(func(replica *server.Replica) bool { return i.registrar.View().IsServing(replica) }),
-		exchanger.WithLeavingHandler(i.registrar.RecordLeaving))
+		exchanger.WithLeavingHandler(i.registrar.RecordLeaving), exchanger.WithLimits(timer, i.throttler))
 	i.owner = batcher.NewOwner(log, timer, upstreamExchanger, budget)
 	i.submitter = batcher.NewSubmitter(log, timer, i.linker, i.owner)
 	i.chooser = chooser.New(timer)
@@ -124,7 +127,7 @@
 	i.blocker = blocker.New(log, timer, i.linker)
 	i.relayer = relayer.New(relayer.Dependencies{
 		Log: log, Timer: timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
-		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, PromptBlocker: i.blocker, Meter: i.meter,
+		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, PromptBlocker: i.blocker, Limits: i.throttler, Meter: i.meter,
 	})
 	i.fronter = fronter.New(log, listeners.clients, i.relayer)
 	i.registerCounters()
--- a/internal/server/composer/counters.go
+++ b/internal/server/composer/counters.go
@@ -33,7 +33,7 @@
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_resumed_unknown_total", Help: "Streams to resume whose version no instance knew.",
 	}, func() uint64 { _, unknown := i.pinner.Counts(); return unknown })
-	for _, collector := range i.blocker.Collectors() {
+	for _, collector := range append(i.blocker.Collectors(), i.throttler.Collectors()...) {
 		i.meter.Register(collector)
 	}
 	add(prometheus.CounterOpts{
--- a/internal/server/composer/membership.go
+++ b/internal/server/composer/membership.go
@@ -117,6 +117,10 @@
 		return i.pinner.HandleRequest(body.OriginRequest)
 	case *encoder.Frame_PromptParts:
 		i.blocker.HandleMessage(from, body.PromptParts)
+	case *encoder.Frame_PermitRequest:
+		return i.throttler.HandleRequest(body.PermitRequest)
+	case *encoder.Frame_ReplicaLimits:
+		i.throttler.HandleLimits(body.ReplicaLimits)
 	case *encoder.Frame_Leaving:
 		i.linker.HandleLeaving(from)
 	}
--- a/internal/server/composer/stop.go
+++ b/internal/server/composer/stop.go
@@ -91,6 +91,7 @@
 	i.gossiper.Stop()
 	i.pinner.Close()
 	i.blocker.Close()
+	i.throttler.Close()
 	i.linker.Stop()
 	i.dialer.Close()
 	i.background.Wait()
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -25,6 +26,9 @@
 	isServing func(*server.Replica) bool
 	// onLeaving is called when a replica states in a response that it is leaving.
 	onLeaving func(*server.Replica)
+	// limits keeps the limits that replicas state, unless it is nil; timer is set with it.
+	limits server.LimitKeeper
+	timer  server.Timer
 }
 
 // Option sets a property of an Exchanger.
@@ -42,6 +46,12 @@
 	return func(x *Exchanger) { x.onLeaving = onLeaving }
 }
 
+// WithLimits has the limits that replicas state in responses recorded, and takes calls that compute
+// pieces and release results from them.
+func WithLimits(timer server.Timer, limits server.LimitKeeper) Option {
+	return func(x *Exchanger) { x.timer, x.limits = timer, limits }
+}
+
 // New returns an Exchanger.
 func New(d *dialer.Dialer, codec server.Codec, options ...Option) *Exchanger {
 	x := &Exchanger{dialer: d, codec: codec, isServing: func(*server.Replica) bool { return true }, onLeaving: func(*server.Replica) {}}
@@ -163,6 +173,10 @@
 	if err != nil {
 		return nil, server.SendStateUnsent, err
 	}
+	var sentAt time.Time
+	if x.limits != nil {
+		sentAt = x.timer.Now()
+	}
 	detach := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	sendResult := make(chan error, 1)
 	go func() {
@@ -196,6 +210,9 @@
 		// A misdirected request was answered by another replica.
 		x.onLeaving(replica)
 	}
+	if x.limits != nil {
+		x.limits.RecordResponse(replica, info, sentAt)
+	}
 	body := &endTracker{ReadCloser: response.Body}
 	response.Body = body
 	return &Answer{
@@ -235,10 +252,27 @@
 // holds a result.
 func (x *Exchanger) ResultAddress(handle string) string { return x.codec.ResultAddress(handle) }
 
+// acquire takes a call from the limit that a replica states. It returns ErrWithheld, with the time
+// after which the replica may take one, if it takes none now.
+func (x *Exchanger) acquire(ctx context.Context, replica *server.Replica) error {
+	if x.limits == nil || !x.limits.HasLimits() {
+		return nil
+	}
+	index, wait := x.limits.Acquire(ctx, []server.Replica{*replica}, 0, false)
+	if index >= 0 {
+		return nil
+	}
+	return server.NewFault("limit", replica.ID, merry.Prepend(server.ErrWithheld, "the replica states a limit"), server.WithRetryAfter(wait))
+}
+
 // call sends a POST request, after check if that is not nil, and returns the body of the
 // response, up to maxStageResponseBytes. It returns ErrOverload if the replica refused the call,
-// ErrUnavailable for other failures of the response, and errors of Do as they are.
+// ErrWithheld if it is beyond a limit that the replica states, ErrUnavailable for other failures of
+// the response, and errors of Do as they are.
 func (x *Exchanger) call(ctx context.Context, replica *server.Replica, path string, body []byte, check func() error) ([]byte, error) {
+	if err := x.acquire(ctx, replica); err != nil {
+		return nil, err
+	}
 	request := &Request{Method: http.MethodPost, Target: path, Host: replica.Address, Header: x.codec.CallHeader(replica.ID), Body: body, Check: check}
 	answer, _, err := x.Do(ctx, replica, request)
 	if err != nil {
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -201,6 +201,19 @@
 	return len(l.members) + 1
 }
 
+// Availability returns the number of instances that respond, this one included, and of those that
+// have rows in the store.
+func (l *Linker) Availability() (available, known int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range l.members {
+		if m.downSince.IsZero() {
+			available++
+		}
+	}
+	return available + 1, len(l.members) + 1
+}
+
 // Call sends a frame to a member and returns the response. If it fails before ctx
 // ends, the member is unreachable or does not respond and is marked as down.
 func (l *Linker) Call(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error) {
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -175,6 +175,25 @@
 	RecordCompletion(service string, parts []string)
 }
 
+// LimitKeeper keeps the limits that replicas state for requests from all instances together. It must
+// be safe for concurrent use.
+type LimitKeeper interface {
+	// HasLimits reports whether a replica is known that states a limit. Without one, the other
+	// methods need not be called.
+	HasLimits() bool
+	// BlockedFor returns for how long a replica is known to take no request; zero if it may take one.
+	BlockedFor(replica *Replica) time.Duration
+	// IsLimited reports whether a replica states a limit.
+	IsLimited(replica *Replica) bool
+	// Acquire takes a request of a rank from the limit of the first of a service's replicas that takes
+	// one, and returns its index. It returns -1 if none does, and when one may. isScarce is set if all
+	// replicas that may get the request have a limit; requests of a lower rank then go first.
+	Acquire(ctx context.Context, replicas []Replica, rank int, isScarce bool) (index int, wait time.Duration)
+	// RecordResponse records what a replica states in a response to a request that was sent at
+	// sentAt or later.
+	RecordResponse(replica *Replica, info ResponseInfo, sentAt time.Time)
+}
+
 // Instance is a process of the deployment, as its row in the store describes it.
 type Instance struct {
 	ID         string `json:"id"`
@@ -255,6 +274,11 @@
 	IsMisdirected bool
 	// IsLeaving means that the replica is leaving and wants no further requests.
 	IsLeaving bool
+	// LimitPerSecond is the number of requests a second that the replica takes from all
+	// instances together; it is valid only if HasLimit is set. IsLimitUnknown means that the
+	// response states a limit that cannot be read.
+	HasLimit, IsLimitUnknown bool
+	LimitPerSecond           float64
 	// IsSigned means that the response carries the signature of a completed run.
 	IsSigned bool
 	// IdleTimeout is the time for which the upstream keeps an idle connection open; zero
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -58,7 +58,7 @@
 	expected, queued, age := f.expectedDelay()
 	lateness, availableTime := f.lateness(expected), f.firstByteDeadline().Sub(f.Timer.Now())
 	if expected <= availableTime && (lateness <= 0 || queued < minRefusalQueueing) {
-		return true
+		return f.reserve()
 	}
 	f.Stager.RecordRefused(f.route.Stages, f.info.Pieces, f.rank)
 	f.Log.Info("refused on arrival", "request", f.info.ID, "route", f.route.Name, "rank", f.rank, "expected_ms", expected.Milliseconds(),
@@ -171,7 +171,9 @@
 	}
 	startedAt := f.Timer.Now()
 	datacentre := ""
-	if replica, ok := f.chooseReplica(); ok {
+	if f.reserved != nil {
+		datacentre = f.reserved.Datacentre
+	} else if replica, ok := f.chooseReplica(); ok {
 		datacentre = replica.Datacentre
 	}
 	results, err := f.Stager.Run(f.ctx, &stager.Request{
@@ -246,12 +248,23 @@
 
 // chooseReplica returns the best replica by the current view; false when none is left.
 func (f *relayedRequest) chooseReplica() (server.Replica, bool) {
-	return f.Chooser.Pick(f.candidates(), chooser.Criteria{AffinityKey: f.affinityKey(), AttemptedReplicas: f.attempted})
+	return f.pick(f.candidates(), f.attempted)
+}
+
+// pick returns the best of the candidates without the excluded ones.
+func (f *relayedRequest) pick(candidates []server.Replica, excluded []string) (server.Replica, bool) {
+	return f.Chooser.Pick(candidates, chooser.Criteria{AffinityKey: f.affinityKey(), AttemptedReplicas: excluded})
 }
 
 // nextReplica updates the view and returns the replica for the next attempt; false when
 // none is left.
 func (f *relayedRequest) nextReplica() (server.Replica, bool) {
 	f.view = f.View()
-	return f.chooseReplica()
+	if reserved := f.reserved; reserved != nil {
+		f.reserved = nil
+		if f.view.IsServing(reserved) {
+			return *reserved, true
+		}
+	}
+	return f.acquireReplica()
 }
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -51,7 +51,9 @@
 	WaitEstimator WaitEstimator
 	Origins       server.StreamOrigins
 	PromptBlocker server.PromptBlocker
-	Meter         Meter
+	// Limits is nil if replicas state no limits.
+	Limits server.LimitKeeper
+	Meter  Meter
 }
 
 // Relayer is the http.Handler for clients' requests.
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -111,6 +111,12 @@
 	// stageDurations is the duration of each stage in milliseconds, for the log line.
 	stageDurations string
 	firstByteDelay time.Duration
+	// reserved is the replica that the request may be sent to within its limit, taken on arrival
+	// while all replicas stated limits.
+	reserved *server.Replica
+	// limitWait is the time after which a replica may take the request, if none did within the
+	// limits that they state.
+	limitWait time.Duration
 	// lastFailure is the last complete error response of a replica, to be forwarded if no
 	// further attempt is made.
 	lastFailure *upstreamFailure
@@ -288,6 +294,8 @@
 		f.forwardFailure()
 	case f.mayHaveRun:
 		f.fail(http.StatusBadGateway, "no other replica is left")
+	case f.limitWait > 0:
+		f.refuse(limitedReason, max(f.limitWait, f.retryAfter()))
 	default:
 		f.refuse("no replica is left", f.retryAfter())
 	}
