Bound the time of a request that was taken from a limit on arrival

Cause, found by reading the change: a request is taken from a limit before its stages are computed. Stages of several requests may end at the same moment, and the replica then gets more in 4 s than its limit allows.

Change: such a reservation expires after a second; the request then needs another one. An owner's limit of a replica that is forgotten while its bucket is kept is no longer dereferenced.

--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -260,11 +260,8 @@
 // none is left.
 func (f *relayedRequest) nextReplica() (server.Replica, bool) {
 	f.view = f.View()
-	if reserved := f.reserved; reserved != nil {
-		f.reserved = nil
-		if f.view.IsServing(reserved) {
-			return *reserved, true
-		}
+	if replica, ok := f.takeReservation(); ok {
+		return replica, true
 	}
 	return f.acquireReplica()
 }
--- a/internal/server/relayer/limit.go
+++ b/internal/server/relayer/limit.go
@@ -12,6 +12,9 @@
 	limitedReason = "no replica takes the request within the limits that they state"
 	// maxLimitQueries bounds how often the replicas' limits are asked for one request.
 	maxLimitQueries = 4
+	// maxReservation is how long a request that was taken from a limit may be sent. The stages of
+	// several requests may end at the same moment, and their replica then gets them all at once.
+	maxReservation = time.Second
 	// maxPreferred bounds the replicas that are asked for at once.
 	maxPreferred = 16
 )
@@ -24,12 +27,23 @@
 		return true
 	}
 	if replica, ok := f.acquireReplica(); ok {
-		f.reserved = &replica
+		f.reserved, f.reservedAt = &replica, f.Timer.Now()
 		return true
 	}
 	return f.refuse(limitedReason, max(f.limitWait, refusedRetryAfter))
 }
 
+// takeReservation returns the reserved replica unless the reservation has expired or the replica has
+// left.
+func (f *relayedRequest) takeReservation() (server.Replica, bool) {
+	reserved := f.reserved
+	f.reserved = nil
+	if reserved == nil || f.Timer.Now().Sub(f.reservedAt) > maxReservation || !f.view.IsServing(reserved) {
+		return server.Replica{}, false
+	}
+	return *reserved, true
+}
+
 // areAllLimited reports whether all replicas that may still get the request state limits.
 func (f *relayedRequest) areAllLimited(candidates []server.Replica) bool {
 	return !slices.ContainsFunc(candidates, func(r server.Replica) bool {
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -111,9 +111,10 @@
 	// stageDurations is the duration of each stage in milliseconds, for the log line.
 	stageDurations string
 	firstByteDelay time.Duration
-	// reserved is the replica that the request may be sent to within its limit, taken on arrival
+	// reserved is the replica that the request may be sent to within its limit, taken at reservedAt
 	// while all replicas stated limits.
-	reserved *server.Replica
+	reserved   *server.Replica
+	reservedAt time.Time
 	// limitWait is the time after which a replica may take the request, if none did within the
 	// limits that they state.
 	limitWait time.Duration
--- a/internal/server/throttler/ledger.go
+++ b/internal/server/throttler/ledger.go
@@ -76,8 +76,8 @@
 		return response
 	}
 	for n, r := range request.GetReplicas() {
-		b := g.buckets[r.GetIncarnation()]
-		if b == nil || !t.limits[r.GetIncarnation()].isLimited() {
+		b, l := g.buckets[r.GetIncarnation()], t.limits[r.GetIncarnation()]
+		if b == nil || l == nil || !l.isLimited() {
 			response.Granted, response.Tokens = uint32(n+1), 1
 			break
 		}
