Release a request's stage results when its stream begins

Cause, from the owners' log lines and 188 refusals for lack of memory in 36 s: memory for results binds, not time. Streams of resumable routes held their results until their end, seconds after the engine had read them, in case they had to be resumed.

Results are now released at the first event, on all routes. A stream that breaks has its stages computed again before it is resumed, due within the goal of the route; before, the resumption would have named lost results and waited for the refusal.

Evidence: TestResultsAreReleasedWhenAResumableStreamBegins and TestBrokenStreamIsResumedWithNewResults failed before.

--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -214,11 +214,25 @@
 	}
 }
 
-// recomputeInputs has the inputs computed again after a replica reported them as lost.
+// releaseInputs releases the results of the stages once a stream has begun: the engine has
+// read them. A stream lasts far longer than its stages, and the replicas have memory for few
+// results. If the stream breaks, they are computed again.
+func (f *relayedRequest) releaseInputs() {
+	if f.results != nil {
+		f.results.Release()
+		f.inputsReleased = true
+	}
+}
+
+// recomputeInputs has the inputs computed again that a replica reported as lost or that were
+// released. A stream that has begun is due again within the goal of its route.
 func (f *relayedRequest) recomputeInputs() bool {
 	if f.results != nil {
 		f.results.Release()
-		f.results = nil
+		f.results, f.inputsReleased = nil, false
+	}
+	if f.responseStarted {
+		f.softDeadline = f.Timer.Now().Add(f.route.Goal)
 	}
 	return f.computeStages()
 }
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -78,7 +78,9 @@
 	cancelStalled  func()
 	stopStallTimer func()
 	// results are the results of stages that the request itself needs; nil without any.
-	results *stager.Results
+	// inputsReleased is set once they were released after the first event of a stream.
+	results        *stager.Results
+	inputsReleased bool
 	// attempted are the IDs of the replicas of all attempts.
 	attempted []string
 	// tryCount counts all attempts, arrivalCount those whose bytes reached a replica, and
@@ -270,7 +272,7 @@
 	switch next {
 	case actionRetry:
 		f.events.resume()
-		return true
+		return !f.inputsReleased || f.recomputeInputs()
 	case actionRecomputeInputs:
 		return f.recomputeInputs()
 	case actionRefuse:
--- a/internal/server/relayer/stream.go
+++ b/internal/server/relayer/stream.go
@@ -63,10 +63,7 @@
 			f.Origins.Record(f.info.ID, *f.origin)
 		}
 		f.writeHeader(response.StatusCode)
-		if f.results != nil && !f.route.IsResumable {
-			// The engine has read its inputs, and they are not needed to resume.
-			f.results.Release()
-		}
+		f.releaseInputs()
 	}
 	f.setWriteDeadline()
 	_, err := f.w.Write(events)
