Keep links to leaders only in large deployments

Now up to 32 instances keep links to each other; in larger deployments each keeps links to the five leaders, which forward broadcasts, and opens others for calls, until they are idle for 5 s. One timer checks all links; the instance with the lower ID dials first; a planned link that is closed is opened again, which finds members that are gone without a call. The ranking is kept until a member changes. Instances that know a table ask for the changes only. Rows of unreachable instances are deleted by the first leader, which is linked to all. Builds without this ignore the new field and answer with whole tables.

--- a/internal/server/composer/membership.go
+++ b/internal/server/composer/membership.go
@@ -80,10 +80,15 @@
 }
 
 // removeUnreachableInstance deletes the row of an instance that has been unreachable since
-// the given time, once that is unreachableInstanceTimeout ago. Only the instance that owns
-// the name "prune" does so, on behalf of all.
+// the given time, once that is unreachableInstanceTimeout ago. Only one instance does so, on
+// behalf of all: the first leader, which is linked to all, or without leaders the owner of the
+// name "prune".
 func (i *Instance) removeUnreachableInstance(id string, since time.Time) {
-	if unreachable := i.timer.Now().Sub(since); unreachable < unreachableInstanceTimeout || i.linker.OwnerID("prune") != i.self.ID {
+	pruner := i.linker.OwnerID("prune")
+	if leaders := i.linker.LeaderIDs(); len(leaders) > 0 {
+		pruner = leaders[0]
+	}
+	if unreachable := i.timer.Now().Sub(since); unreachable < unreachableInstanceTimeout || pruner != i.self.ID {
 		return
 	}
 	if err := i.store.Delete(i.ctx, registrar.TableInstances, id); err != nil {
@@ -108,7 +113,7 @@
 	case *encoder.Frame_ExpectedPieces:
 		i.submitter.HandleExpectedPieces(body.ExpectedPieces)
 	case *encoder.Frame_RowsRequest:
-		return i.gossiper.HandleRowsRequest(body.RowsRequest.GetTable())
+		return i.gossiper.HandleRowsRequest(body.RowsRequest)
 	case *encoder.Frame_VersionAnnouncement:
 		i.gossiper.HandleAnnouncement(from, body.VersionAnnouncement)
 	case *encoder.Frame_StreamOrigin:
--- a/internal/server/gossiper/gossiper.go
+++ b/internal/server/gossiper/gossiper.go
@@ -51,6 +51,9 @@
 	Rows(table string) (rows []server.StoredRow, version uint64, ok bool)
 	// ChangesSince returns the changes of a table after a version.
 	ChangesSince(table string, after uint64) []server.StoredRow
+	// LoadedVersion returns the version as of which a table was first read whole, so that
+	// ChangesSince lacks deletions before it; zero before that.
+	LoadedVersion(table string) uint64
 	// ApplyChanges applies changes of a table, which is then known up to version. See
 	// RecoveredAt for recoveredAt.
 	ApplyChanges(table string, rows []server.StoredRow, version uint64, recoveredAt time.Time)
@@ -287,12 +290,13 @@
 	return t.announcers[rand.IntN(len(t.announcers))]
 }
 
-// fetchTable replaces a table by that of another instance and reports whether it
-// received one.
+// fetchTable applies the changes of a table that another instance knows, or replaces it by
+// that of the other instance, and reports whether it received either.
 func (g *Gossiper) fetchTable(from, name string) bool {
 	ctx, cancel := context.WithTimeout(g.ctx, rowsTimeout)
 	defer cancel()
-	response, err := g.links.Call(ctx, from, &encoder.Frame{Body: &encoder.Frame_RowsRequest{RowsRequest: &encoder.RowsRequest{Table: name}}})
+	request := &encoder.RowsRequest{Table: name, After: g.tables.Version(name)}
+	response, err := g.links.Call(ctx, from, &encoder.Frame{Body: &encoder.Frame_RowsRequest{RowsRequest: request}})
 	if err != nil {
 		g.log.Info("table could not be fetched from another instance", "table", name, "from", from, "cause", err.Error())
 		return false
@@ -301,16 +305,26 @@
 	if !table.GetAvailable() {
 		return false
 	}
-	g.log.Info("table fetched from another instance", "table", name, "from", from, "version", table.GetVersion(), "rows", len(table.GetRows()))
-	g.tables.Replace(name, decodeRows(table.GetRows()), table.GetVersion(), g.recoveryTime(table.GetStoreRecoveryAgeMs()))
+	g.log.Info("table fetched from another instance", "table", name, "from", from, "version", table.GetVersion(), "after", table.GetBaseVersion(), "rows", len(table.GetRows()))
+	apply := g.tables.Replace
+	if table.GetBaseVersion() > 0 {
+		apply = g.tables.ApplyChanges
+	}
+	apply(name, decodeRows(table.GetRows()), table.GetVersion(), g.recoveryTime(table.GetStoreRecoveryAgeMs()))
 	return true
 }
 
-// HandleRowsRequest returns the response to a request for a table: its rows as this
-// instance knows them.
-func (g *Gossiper) HandleRowsRequest(name string) *encoder.Frame {
+// HandleRowsRequest returns the response to a request for a table as this instance knows it:
+// the changes after the version that the sender knows, or all rows if some of the changes may
+// not be known here.
+func (g *Gossiper) HandleRowsRequest(request *encoder.RowsRequest) *encoder.Frame {
+	name, after := request.GetTable(), request.GetAfter()
 	rows, version, ok := g.tables.Rows(name)
 	response := &encoder.RowsResponse{Version: version, Available: ok, StoreRecoveryAgeMs: g.recoveryAge(name)}
+	if loaded := g.tables.LoadedVersion(name); ok && after >= loaded && loaded > 0 && after <= version && !server.IsEarlierEra(loaded, version) {
+		response.BaseVersion = after
+		rows = g.tables.ChangesSince(name, after)
+	}
 	for _, row := range rows {
 		response.Rows = append(response.Rows, encodeRow(row))
 	}
--- a/internal/server/gossiper/gossiper_test.go
+++ b/internal/server/gossiper/gossiper_test.go
@@ -143,7 +143,7 @@
 func (m *member) Call(ctx context.Context, id string, frame *encoder.Frame) (*encoder.Frame, error) {
 	for _, other := range m.fleet.members {
 		if other.id == id && !other.isCut() && !m.isCut() {
-			response := other.gossiper.HandleRowsRequest(frame.GetRowsRequest().GetTable())
+			response := other.gossiper.HandleRowsRequest(frame.GetRowsRequest())
 			wait := max(other.transfer(proto.Size(response)), m.transfer(proto.Size(response)))
 			if err := server.Sleep(ctx, m.fleet.timer, wait); err != nil {
 				return nil, err
--- a/internal/server/linker/link.go
+++ b/internal/server/linker/link.go
@@ -27,6 +27,9 @@
 	// member that is down.
 	minReconnectDelay = 250 * time.Millisecond
 	maxReconnectDelay = 3 * time.Second
+	// secondDialDelay is how long the instance with the higher ID waits for the other one to
+	// dial, before it dials itself.
+	secondDialDelay = dialTimeout
 	// helloTimeout bounds the wait for the hello of an accepted link, and for the
 	// frame of an accepted call.
 	helloTimeout = 2 * time.Second
@@ -40,6 +43,10 @@
 	id              string
 	session         *yamux.Session
 	callsInProgress atomic.Int64
+	// isOnDemand is set if the link was opened for a call and is closed when it is idle.
+	// usedAt is when it was last used for a call or a message. The linker's mu guards both.
+	isOnDemand bool
+	usedAt     time.Time
 }
 
 func yamuxConfig() *yamux.Config {
@@ -95,7 +102,8 @@
 }
 
 // receiveHello reads the hello of the instance that dialed and serves the link. Calls
-// to that instance use this link too, unless there is another open one.
+// to that instance use this link too if it is planned, unless there is another open one.
+// Other links are closed by the instance that dialed.
 func (l *Linker) receiveHello(session *yamux.Session) {
 	stopTimeout := l.timer.After(helloTimeout, func(time.Time) { go func() { _ = session.Close() }() })
 	stream, err := session.AcceptStream()
@@ -113,15 +121,28 @@
 	}
 	newLink := &link{id: frame.GetHello().GetInstance(), session: session}
 	l.mu.Lock()
-	if m := l.members[newLink.id]; m != nil && (m.link == nil || m.link.session.IsClosed()) {
+	if m := l.members[newLink.id]; m != nil && (m.link == nil || m.link.session.IsClosed()) && l.isPlanned(m.ID) {
 		m.link = newLink
 	}
 	l.mu.Unlock()
 	l.serveLink(newLink)
 }
 
-// serveLink starts the goroutines that handle a link's streams and probe it while
-// calls are in progress. They end with the session.
+// checkLinks probes the links with calls in progress, opens planned links again that were
+// closed, and closes idle ones.
+func (l *Linker) checkLinks(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for link := range l.openLinks {
+		if link.callsInProgress.Load() > 0 {
+			go link.probe()
+		}
+	}
+	l.openPlannedLinks()
+	l.closeIdleLinks(now)
+}
+
+// serveLink starts the goroutines that handle a link's streams. They end with the session.
 func (l *Linker) serveLink(link *link) {
 	l.mu.Lock()
 	l.openLinks[link] = true
@@ -138,14 +159,8 @@
 			go l.handleStream(link, stream)
 		}
 	})
-	stopProbes := l.timer.Every(probeInterval, func(time.Time) {
-		if link.callsInProgress.Load() > 0 {
-			go link.probe()
-		}
-	})
 	go func() {
 		<-link.session.CloseChan()
-		stopProbes()
 		l.mu.Lock()
 		delete(l.openLinks, link)
 		l.mu.Unlock()
@@ -162,7 +177,7 @@
 	if err != nil {
 		return
 	}
-	response := l.handler(l.ctx, link.id, frame)
+	response := l.handler(l.ctx, l.receivedFrom(link.id, frame), frame)
 	if response == nil {
 		return
 	}
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -1,12 +1,15 @@
-// Package linker carries calls between the instances that package composer builds.
-// Each pair of instances shares a yamux session, and each call is a stream of its own.
+// Package linker carries calls between the instances that package composer builds. A link
+// is a yamux session, and each call is a stream of its own.
+//
+// In small deployments all instances keep links to each other. In larger ones each keeps
+// links to the leaders only, which forward broadcasts to all; other links are opened for
+// calls and closed when they are idle.
 //
 // The store has a row for each member. A member that does not respond is down until it
 // responds on a new link.
 package linker
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -46,6 +49,9 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
+	stopChecks func()
+	// ranking is nil after a change of the members; see currentRanking.
+	ranking *ranking
 }
 
 // member is another instance. The linker's mu guards it.
@@ -97,12 +103,14 @@
 func (l *Linker) Start(handler Handler) {
 	l.handler = handler
 	l.goroutines.Go(l.acceptLinks)
+	l.stopChecks = l.timer.Every(probeInterval, l.checkLinks)
 }
 
 // Stop closes the listener and all links and waits for the linker's goroutines, but not
 // for calls of the handler that are in progress.
 func (l *Linker) Stop() {
 	l.cancel()
+	l.stopChecks()
 	_ = l.listener.Close()
 	l.mu.Lock()
 	for link := range l.openLinks {
@@ -119,6 +127,7 @@
 func (l *Linker) UpdateMembers(instances []server.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ranking = nil
 	isListed := make(map[string]bool, len(instances))
 	for _, instance := range instances {
 		isListed[instance.ID] = true
@@ -137,10 +146,10 @@
 			delete(l.members, id)
 		}
 	}
+	l.openPlannedLinks()
 }
 
-// addMember adds a member or replaces it by its new incarnation, and begins to connect
-// to it. The caller holds mu.
+// addMember adds a member or replaces it by its new incarnation. The caller holds mu.
 func (l *Linker) addMember(old *member, instance server.Instance) {
 	if old != nil {
 		l.closeLink(old)
@@ -148,7 +157,6 @@
 	m := &member{Instance: instance}
 	l.members[instance.ID] = m
 	l.log.Info("instance joined", "instance", instance.ID, "address", instance.Address, "datacentre", instance.Datacentre, "born", instance.StartMillis)
-	l.startReconnecting(m, 0)
 }
 
 // closeLink closes a member's link, if there is one. The caller holds mu.
@@ -162,27 +170,18 @@
 // AnnounceLeaving announces to all linked members that this instance is leaving.
 func (l *Linker) AnnounceLeaving() {
 	l.mu.Lock()
-	l.isLeaving = true
+	l.isLeaving, l.ranking = true, nil
 	l.mu.Unlock()
 	l.Broadcast(&encoder.Frame{Body: &encoder.Frame_Leaving{Leaving: &encoder.Leaving{}}})
 }
 
 // AvailableInstances returns the instances that respond and are not leaving, in order of their
-// IDs. This instance is included unless it is leaving and there is another.
+// IDs. This instance is included unless it is leaving and there is another. The caller must
+// not change the slice.
 func (l *Linker) AvailableInstances() []server.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var available []server.Instance
-	for _, m := range l.members {
-		if m.downSince.IsZero() && !m.isLeaving {
-			available = append(available, m.Instance)
-		}
-	}
-	if !l.isLeaving || len(available) == 0 {
-		available = append(available, l.self)
-	}
-	slices.SortFunc(available, func(a, b server.Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return available
+	return l.currentRanking().available
 }
 
 // Position returns the position of this instance in the order of AvailableInstances, and their
@@ -249,30 +248,14 @@
 	return link.send(frame)
 }
 
-// Broadcast sends a frame that has no response to all members that are linked now. It
-// dials nobody and ignores errors.
-func (l *Linker) Broadcast(frame *encoder.Frame) {
-	l.mu.Lock()
-	var links []*link
-	for _, m := range l.members {
-		if m.link != nil {
-			links = append(links, m.link)
-		}
-	}
-	l.mu.Unlock()
-	for _, link := range links {
-		// A broken link is detected by the next call on it.
-		_ = link.send(frame)
-	}
-}
-
 // HandleLeaving records that a member announced that it is leaving.
 func (l *Linker) HandleLeaving(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if m := l.members[id]; m != nil && !m.isLeaving {
-		m.isLeaving = true
+		m.isLeaving, l.ranking = true, nil
 		l.log.Info("instance is leaving", "instance", id)
+		l.openPlannedLinks()
 	}
 }
 
@@ -286,6 +269,9 @@
 		return nil, server.NewFault("link", id, server.ErrUnavailable)
 	}
 	current, instance := m.link, m.Instance
+	if current != nil {
+		current.usedAt = l.timer.Now()
+	}
 	l.mu.Unlock()
 	if current != nil && !current.session.IsClosed() {
 		return current, nil
@@ -314,6 +300,7 @@
 		_ = newLink.session.Close()
 		return m.link, nil
 	}
+	newLink.isOnDemand, newLink.usedAt = !l.isPlanned(m.ID), l.timer.Now()
 	m.link = newLink
 	return newLink, nil
 }
@@ -332,14 +319,15 @@
 	if !m.downSince.IsZero() {
 		return
 	}
-	m.downSince = l.timer.Now()
+	m.downSince, l.ranking = l.timer.Now(), nil
 	l.log.Info("instance is unreachable", "instance", id, "cause", cause.Error())
 	l.startReconnecting(m, minReconnectDelay)
+	l.openPlannedLinks()
 }
 
 // startReconnecting starts a goroutine that dials a member, first after firstDelay
-// and then with exponential backoff, until it responds or is replaced. The caller
-// holds mu.
+// and then with exponential backoff, until it responds, is replaced, or neither is down nor
+// needs a link. The caller holds mu.
 func (l *Linker) startReconnecting(m *member, firstDelay time.Duration) {
 	if m.isReconnecting || l.ctx.Err() != nil {
 		return
@@ -354,12 +342,36 @@
 	})
 }
 
-// tryReconnect dials a member once and reports whether to stop reconnecting: it
-// responded, or it is not a member any more.
+// reusableLink returns the open link to a member, or nil. isNeeded is false if the member is
+// up and needs no link any more.
+func (l *Linker) reusableLink(m *member) (current *link, isNeeded bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m.downSince.IsZero() && !l.isPlanned(m.ID) {
+		m.isReconnecting = false
+		return nil, false
+	}
+	if m.link != nil && !m.link.session.IsClosed() {
+		return m.link, true
+	}
+	return nil, true
+}
+
+// tryReconnect dials a member once, unless it has an open link by now, and reports whether to
+// stop reconnecting.
 func (l *Linker) tryReconnect(m *member) bool {
-	newLink, err := l.connect(l.ctx, m.Instance)
+	newLink, isNeeded := l.reusableLink(m)
+	if !isNeeded {
+		return true
+	}
+	var err error
+	if newLink == nil {
+		newLink, err = l.connect(l.ctx, m.Instance)
+	}
 	if err == nil {
-		_, err = newLink.session.Ping()
+		if _, err = newLink.session.Ping(); err != nil {
+			_ = newLink.session.Close()
+		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -371,22 +383,26 @@
 	}
 	if err != nil {
 		if m.downSince.IsZero() {
-			m.downSince = l.timer.Now()
+			m.downSince, l.ranking = l.timer.Now(), nil
 			l.log.Info("instance is unreachable", "instance", m.ID, "cause", err.Error())
 		}
 		go l.onUnreachable(m.ID, m.downSince)
 		return false
 	}
 	m.isReconnecting = false
-	if m.link != nil && !m.link.session.IsClosed() {
+	switch {
+	case m.link == newLink:
+	case m.link != nil && !m.link.session.IsClosed():
 		// Calls may be in progress on the link that was opened first.
 		_ = newLink.session.Close()
-	} else {
+	default:
+		newLink.isOnDemand, newLink.usedAt = !l.isPlanned(m.ID), l.timer.Now()
 		m.link = newLink
 	}
 	if !m.downSince.IsZero() {
 		l.log.Info("instance is reachable again", "instance", m.ID, "away_ms", l.timer.Now().Sub(m.downSince).Milliseconds())
-		m.downSince = time.Time{}
+		m.downSince, l.ranking = time.Time{}, nil
+		l.openPlannedLinks()
 	}
 	return true
 }
--- a/internal/server/linker/owner.go
+++ b/internal/server/linker/owner.go
@@ -21,26 +21,80 @@
 	maxInstancesWithoutLeaders = 16
 )
 
+// ranking is what follows from the members until one of them changes: owners and leaders
+// are asked for several times in each request.
+type ranking struct {
+	// available are the instances that respond and are not leaving, in order of their IDs,
+	// and candidates the IDs of those whose capacity weight is high enough for owners.
+	available  []server.Instance
+	candidates []string
+	leaders    []string
+	// owners are those found so far, by name.
+	owners map[string]string
+}
+
+// isMesh reports whether all instances keep links to each other.
+func (r *ranking) isMesh() bool {
+	return len(r.available) <= maxMeshInstances || len(r.leaders) == 0
+}
+
+// isLeader reports whether an instance is a leader.
+func (r *ranking) isLeader(id string) bool { return slices.Contains(r.leaders, id) }
+
+// maxCachedOwners bounds the owners that are kept. Names are those of services and duties.
+const maxCachedOwners = 1024
+
+// currentRanking returns the ranking of the present members. The caller holds mu.
+func (l *Linker) currentRanking() *ranking {
+	if l.ranking == nil {
+		r := &ranking{owners: make(map[string]string)}
+		for _, m := range l.members {
+			if m.downSince.IsZero() && !m.isLeaving {
+				r.available = append(r.available, m.Instance)
+			}
+		}
+		if !l.isLeaving || len(r.available) == 0 {
+			r.available = append(r.available, l.self)
+		}
+		slices.SortFunc(r.available, func(a, b server.Instance) int { return cmp.Compare(a.ID, b.ID) })
+		r.candidates = ownerCandidates(r.available)
+		if len(r.available) > maxInstancesWithoutLeaders {
+			r.leaders = topByRendezvous("leaders", r.candidates, leaderCount)
+		}
+		l.ranking = r
+	}
+	return l.ranking
+}
+
 // OwnerID returns the ID of the instance that owns a name by rendezvous hashing. All
 // instances that see the same members return the same owner. Instances with a low
 // capacity weight own nothing.
 func (l *Linker) OwnerID(name string) string {
-	return topByRendezvous(name, l.ownerCandidates(l.AvailableInstances()), 1)[0]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.currentRanking()
+	owner, ok := r.owners[name]
+	if !ok {
+		owner = topByRendezvous(name, r.candidates, 1)[0]
+		if len(r.owners) < maxCachedOwners {
+			r.owners[name] = owner
+		}
+	}
+	return owner
 }
 
 // LeaderIDs returns the IDs of the instances that watch the store on behalf of all
-// instances. It returns none if every instance watches the store itself.
+// instances. It returns none if every instance watches the store itself. The caller must
+// not change the slice.
 func (l *Linker) LeaderIDs() []string {
-	available := l.AvailableInstances()
-	if len(available) <= maxInstancesWithoutLeaders {
-		return nil
-	}
-	return topByRendezvous("leaders", l.ownerCandidates(available), leaderCount)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.currentRanking().leaders
 }
 
 // ownerCandidates returns the IDs of the instances whose capacity weight is high
 // enough for owners.
-func (l *Linker) ownerCandidates(available []server.Instance) []string {
+func ownerCandidates(available []server.Instance) []string {
 	maxWeight := 0.0
 	for _, instance := range available {
 		maxWeight = max(maxWeight, instance.CapacityWeight)
@@ -66,13 +120,31 @@
 	return topByRendezvous(name, ids, count)
 }
 
+// rankedID is an ID with its rendezvous hash for a name.
+type rankedID struct {
+	id   string
+	hash uint64
+}
+
+// compare orders IDs by descending hash.
+func (a rankedID) compare(b rankedID) int {
+	return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.id, b.id))
+}
+
 // topByRendezvous returns up to count of the IDs: those with the highest rendezvous
-// hashes for a name. It sorts ids in place.
+// hashes for a name.
 func topByRendezvous(name string, ids []string, count int) []string {
-	hashes := make(map[string]uint64, len(ids))
+	var top []rankedID
 	for _, id := range ids {
-		hashes[id] = xxhash.Sum64String(name + "\x00" + id)
+		ranked := rankedID{id: id, hash: xxhash.Sum64String(name + "\x00" + id)}
+		if position, _ := slices.BinarySearchFunc(top, ranked, rankedID.compare); position < count {
+			top = slices.Insert(top, position, ranked)
+			top = top[:min(len(top), count)]
+		}
+	}
+	result := make([]string, len(top))
+	for i := range top {
+		result[i] = top[i].id
 	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Or(cmp.Compare(hashes[b], hashes[a]), cmp.Compare(a, b)) })
-	return ids[:min(count, len(ids))]
+	return result
 }
--- /dev/null
+++ b/internal/server/linker/plan.go
@@ -0,0 +1,126 @@
+package linker
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
+)
+
+const (
+	// maxMeshInstances is the number of instances up to which all keep links to each other.
+	maxMeshInstances = 32
+	// forwarderCount is the number of leaders that forward the broadcast of an instance.
+	forwarderCount = 2
+	// everyone is the receiver of a frame that a leader forwards to all members.
+	everyone = "*"
+	// plannedDialDelay is how long an instance waits before it dials a leader: while many
+	// instances start, the leaders change with each of them.
+	plannedDialDelay = 300 * time.Millisecond
+	// idleLinkTimeout is how long a link that was opened for a call stays open after it.
+	idleLinkTimeout = 5 * time.Second
+)
+
+// isPlanned reports whether this instance and a member keep a link: all are linked to all, or
+// one of them is a leader. The caller holds mu.
+func (l *Linker) isPlanned(id string) bool {
+	r := l.currentRanking()
+	return r.isMesh() || r.isLeader(l.self.ID) || r.isLeader(id)
+}
+
+// openPlannedLinks begins to connect to the members that need a link and have none. Of two
+// instances the one with the lower ID dials first; the other one uses that link and dials only
+// if there is none by then. The caller holds mu.
+func (l *Linker) openPlannedLinks() {
+	delay := time.Duration(0)
+	if !l.currentRanking().isMesh() {
+		delay = plannedDialDelay
+	}
+	for _, m := range l.members {
+		if !l.isPlanned(m.ID) || m.link != nil && !m.link.session.IsClosed() {
+			continue
+		}
+		if l.self.ID < m.ID {
+			l.startReconnecting(m, delay)
+		} else {
+			l.startReconnecting(m, delay+secondDialDelay)
+		}
+	}
+}
+
+// closeIdleLinks closes the links that were opened for calls and have not been used for
+// idleLinkTimeout. The caller holds mu.
+func (l *Linker) closeIdleLinks(now time.Time) {
+	for _, m := range l.members {
+		k := m.link
+		if k == nil || !k.isOnDemand || k.callsInProgress.Load() > 0 || now.Sub(k.usedAt) < idleLinkTimeout {
+			continue
+		}
+		if l.isPlanned(m.ID) {
+			k.isOnDemand = false
+			continue
+		}
+		m.link = nil
+		go func() { _ = k.session.Close() }()
+	}
+}
+
+// Broadcast sends a frame that has no response to all members. Without links to all of them
+// it sends the frame to leaders, which forward it. It dials nobody and ignores errors.
+func (l *Linker) Broadcast(frame *encoder.Frame) {
+	l.mu.Lock()
+	r := l.currentRanking()
+	isForwarded := !r.isMesh() && !r.isLeader(l.self.ID)
+	links := l.openMemberLinks("")
+	if isForwarded {
+		links = slices.DeleteFunc(links, func(k *link) bool { return !r.isLeader(k.id) })
+	}
+	l.mu.Unlock()
+	if isForwarded {
+		frame = proto.CloneOf(frame)
+		frame.To = everyone
+	}
+	sent := 0
+	for _, k := range links {
+		// A broken link is detected by the next call on it.
+		if k.send(frame) == nil {
+			sent++
+		}
+		if isForwarded && sent == forwarderCount {
+			return
+		}
+	}
+}
+
+// openMemberLinks returns the links to members except one. The caller holds mu.
+func (l *Linker) openMemberLinks(exceptID string) []*link {
+	var links []*link
+	for _, m := range l.members {
+		if m.link != nil && m.ID != exceptID && !m.link.session.IsClosed() {
+			links = append(links, m.link)
+		}
+	}
+	return links
+}
+
+// receivedFrom returns the ID of the instance that a frame comes from, which is not the one
+// at the other side of the link if a leader forwarded it. It forwards the frame if it is for
+// everyone.
+func (l *Linker) receivedFrom(linkedID string, frame *encoder.Frame) string {
+	switch {
+	case frame.GetTo() == everyone:
+		forwarded := proto.CloneOf(frame)
+		forwarded.From, forwarded.To = linkedID, ""
+		l.mu.Lock()
+		links := l.openMemberLinks(linkedID)
+		l.mu.Unlock()
+		for _, k := range links {
+			_ = k.send(forwarded)
+		}
+	case frame.GetFrom() != "":
+		return frame.GetFrom()
+	}
+	return linkedID
+}
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -207,6 +207,17 @@
 	return nil
 }
 
+// LoadedVersion returns the version as of which a table was first read whole: deletions before
+// it are not known here. It is zero before that.
+func (r *Registrar) LoadedVersion(name string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t := r.tables[name]; t != nil {
+		return t.loadedVersion
+	}
+	return 0
+}
+
 // HasRow reports whether a table has a row, as far as this instance has read.
 func (r *Registrar) HasRow(table, name string) bool {
 	r.mu.Lock()
--- a/internal/server/registrar/table.go
+++ b/internal/server/registrar/table.go
@@ -14,8 +14,10 @@
 	tombstones map[string]uint64
 	// version is the store's version that the table is known up to.
 	version uint64
-	// isLoaded is set once the whole table was read.
-	isLoaded bool
+	// isLoaded is set once the whole table was read, as of loadedVersion. Rows that were
+	// deleted before have no tombstones.
+	isLoaded      bool
+	loadedVersion uint64
 	// recoveredAt belongs to the newest changes; see Registrar.ApplyChanges.
 	recoveredAt time.Time
 }
@@ -69,7 +71,9 @@
 			rows = append(rows, server.StoredRow{Name: name, Version: max(version, row.Version+1), IsDeleted: true})
 		}
 	}
-	t.isLoaded = true
+	if !t.isLoaded {
+		t.isLoaded, t.loadedVersion = true, version
+	}
 	return t.applyChanges(rows, version)
 }
 
