End calls before their session is closed, and link to owners before requests need them

Cause, from the stacks of the process: while a yamux session closes, each read that waits on one of its streams is a busy loop until the session's own reader has ended; 38 calls kept it from the processor. On a slow core each of them takes a whole time slice. A link now ends its calls first and closes the session after them: TestCallsEndBeforeTheirSessionIsClosed.

Likely cause, not traced in logs: all instances dialed the owners of stage services with their first requests, within the dial timeout of 0.6 s on a fifth of a core. Owners of names that are asked for, and those that would own them next, are now linked to in advance, spread over 2 s.

--- a/internal/server/composer/membership.go
+++ b/internal/server/composer/membership.go
@@ -29,6 +29,7 @@
 		plan := view.Router().Plan()
 		i.fronter.SetLimits(plan.Limits)
 		i.owner.UpdateServices(plan.Backends, view.Replicas)
+		i.linkOwners(plan)
 		if !i.wasReady.Swap(true) {
 			i.log.Info("ready", "plan", plan.Version, "after_ms", i.timer.Now().UnixMilli()-i.self.StartMillis)
 		}
@@ -37,6 +38,16 @@
 	i.registerIfMissing(view)
 }
 
+// linkOwners has the linker open links to the owners of stage services before a request needs
+// them: hundreds of instances that dial an owner with the first request overload it.
+func (i *Instance) linkOwners(plan *server.Plan) {
+	for name := range plan.Backends {
+		if backend := plan.Backends[name]; backend.Batch != nil {
+			i.linker.OwnerID(name)
+		}
+	}
+}
+
 // registerIfMissing registers the instance again if the table of instances was read
 // and lacks the row of this incarnation.
 func (i *Instance) registerIfMissing(view *registrar.View) {
--- a/internal/server/linker/link.go
+++ b/internal/server/linker/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,56 @@
 	// usedAt is when it was last used for a call or a message. The linker's mu guards both.
 	isOnDemand bool
 	usedAt     time.Time
+	// mu guards isClosing and streams: those on which a read or write may wait. drained is
+	// closed once the link is closing and none is left.
+	mu        sync.Mutex
+	isClosing bool
+	streams   map[*yamux.Stream]bool
+	drained   chan struct{}
+}
+
+func newLink(id string, session *yamux.Session) *link {
+	return &link{id: id, session: session, streams: make(map[*yamux.Stream]bool), drained: make(chan struct{})}
+}
+
+// track adds a stream on which a read or write may wait. It returns false if the link is closing.
+func (k *link) track(stream *yamux.Stream) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.isClosing {
+		k.streams[stream] = true
+	}
+	return !k.isClosing
+}
+
+// untrack removes a stream.
+func (k *link) untrack(stream *yamux.Stream) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.streams, stream)
+	if k.isClosing && len(k.streams) == 0 {
+		close(k.drained)
+	}
+}
+
+// close ends the calls in progress and then the session. While a yamux session is closed,
+// each read that waits on a stream is a busy loop until the session's own reader has ended.
+func (k *link) close() {
+	k.mu.Lock()
+	if k.isClosing {
+		k.mu.Unlock()
+		return
+	}
+	k.isClosing = true
+	if len(k.streams) == 0 {
+		close(k.drained)
+	}
+	for stream := range k.streams {
+		_ = stream.SetDeadline(time.Unix(1, 0))
+	}
+	k.mu.Unlock()
+	<-k.drained
+	_ = k.session.Close()
 }
 
 func yamuxConfig() *yamux.Config {
@@ -72,14 +123,14 @@
 		_ = conn.Close()
 		return nil, merry.Wrap(err)
 	}
-	newLink := &link{id: instance.ID, session: session}
+	opened := newLink(instance.ID, session)
 	hello := &encoder.Frame{Body: &encoder.Frame_Hello{Hello: &encoder.Hello{Instance: l.self.ID, Datacentre: l.self.Datacentre}}}
-	if err := newLink.send(hello); err != nil {
+	if err := opened.send(hello); err != nil {
 		_ = session.Close()
 		return nil, err
 	}
-	l.serveLink(newLink)
-	return newLink, nil
+	l.serveLink(opened)
+	return opened, nil
 }
 
 // acceptLinks serves the links that other instances open.
@@ -119,13 +170,13 @@
 		_ = session.Close()
 		return
 	}
-	newLink := &link{id: frame.GetHello().GetInstance(), session: session}
+	accepted := newLink(frame.GetHello().GetInstance(), session)
 	l.mu.Lock()
-	if m := l.members[newLink.id]; m != nil && (m.link == nil || m.link.session.IsClosed()) && l.isPlanned(m.ID) {
-		m.link = newLink
+	if m := l.members[accepted.id]; m != nil && (m.link == nil || m.link.session.IsClosed()) && l.isPlanned(m.ID) {
+		m.link = accepted
 	}
 	l.mu.Unlock()
-	l.serveLink(newLink)
+	l.serveLink(accepted)
 }
 
 // checkLinks probes the links with calls in progress, opens planned links again that were
@@ -147,7 +198,7 @@
 	l.mu.Lock()
 	l.openLinks[link] = true
 	if l.ctx.Err() != nil {
-		_ = link.session.Close()
+		go link.close()
 	}
 	l.mu.Unlock()
 	l.goroutines.Go(func() {
@@ -170,10 +221,15 @@
 // handleStream reads one frame and writes the handler's response, if there is one.
 func (l *Linker) handleStream(link *link, stream *yamux.Stream) {
 	defer func() { _ = stream.Close() }()
-	if stream.SetReadDeadline(time.Now().Add(helloTimeout)) != nil {
+	if !link.track(stream) {
 		return
 	}
-	frame, err := encoder.Read(stream, maxFrameBytes)
+	err := stream.SetReadDeadline(time.Now().Add(helloTimeout))
+	var frame *encoder.Frame
+	if err == nil {
+		frame, err = encoder.Read(stream, maxFrameBytes)
+	}
+	link.untrack(stream)
 	if err != nil {
 		return
 	}
@@ -189,7 +245,7 @@
 // probe closes the link if the other side does not respond to a heartbeat.
 func (k *link) probe() {
 	if _, err := k.session.Ping(); err != nil {
-		_ = k.session.Close()
+		k.close()
 	}
 }
 
@@ -203,6 +259,10 @@
 		return nil, server.NewFault("call", k.id, merry.Prepend(server.ErrUnavailable, err.Error()))
 	}
 	defer func() { _ = stream.Close() }()
+	if !k.track(stream) {
+		return nil, server.NewFault("call", k.id, merry.Prepend(server.ErrUnavailable, "the link is being closed"))
+	}
+	defer k.untrack(stream)
 	detach := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer detach()
 	if err := encoder.Write(stream, frame, maxFrameBytes); err != nil {
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -50,6 +50,8 @@
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	stopChecks func()
+	// ownedNames are the names whose owner was asked for.
+	ownedNames map[string]bool
 	// ranking is nil after a change of the members; see currentRanking.
 	ranking *ranking
 }
@@ -87,7 +89,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	l := &Linker{
-		log: log, timer: timer, self: self, listener: listener, members: make(map[string]*member), openLinks: make(map[*link]bool),
+		log: log, timer: timer, self: self, listener: listener, members: make(map[string]*member), openLinks: make(map[*link]bool), ownedNames: make(map[string]bool),
 		ctx: ctx, cancel: cancel, onUnreachable: func(string, time.Time) {},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
@@ -114,7 +116,7 @@
 	_ = l.listener.Close()
 	l.mu.Lock()
 	for link := range l.openLinks {
-		_ = link.session.Close()
+		go link.close()
 	}
 	l.mu.Unlock()
 	l.goroutines.Wait()
@@ -162,7 +164,7 @@
 // closeLink closes a member's link, if there is one. The caller holds mu.
 func (l *Linker) closeLink(m *member) {
 	if m.link != nil {
-		_ = m.link.session.Close()
+		go m.link.close()
 		m.link = nil
 	}
 }
@@ -293,11 +295,11 @@
 	defer l.mu.Unlock()
 	m := l.members[instance.ID]
 	if m == nil || m.StartMillis != instance.StartMillis {
-		_ = newLink.session.Close()
+		go newLink.close()
 		return nil, server.NewFault("link", instance.ID, merry.Prepend(server.ErrUnavailable, "instance was removed or restarted"))
 	}
 	if m.link != nil && !m.link.session.IsClosed() {
-		_ = newLink.session.Close()
+		go newLink.close()
 		return m.link, nil
 	}
 	newLink.isOnDemand, newLink.usedAt = !l.isPlanned(m.ID), l.timer.Now()
@@ -370,14 +372,14 @@
 	}
 	if err == nil {
 		if _, err = newLink.session.Ping(); err != nil {
-			_ = newLink.session.Close()
+			newLink.close()
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.members[m.ID] != m {
 		if newLink != nil {
-			_ = newLink.session.Close()
+			go newLink.close()
 		}
 		return true
 	}
@@ -394,7 +396,7 @@
 	case m.link == newLink:
 	case m.link != nil && !m.link.session.IsClosed():
 		// Calls may be in progress on the link that was opened first.
-		_ = newLink.session.Close()
+		go newLink.close()
 	default:
 		newLink.isOnDemand, newLink.usedAt = !l.isPlanned(m.ID), l.timer.Now()
 		m.link = newLink
--- a/internal/server/linker/linker_test.go
+++ b/internal/server/linker/linker_test.go
@@ -178,3 +178,52 @@
 	is.True(err != nil)
 	is.Equal(len(a.AvailableInstances()), 2) // the cancelled call does not mark b as down
 }
+
+// hangingConn is a connection whose Close does not return until it is released.
+type hangingConn struct {
+	net.Conn
+	released chan struct{}
+}
+
+func (c hangingConn) Close() error {
+	<-c.released
+	return c.Conn.Close()
+}
+
+// TestCallsEndBeforeTheirSessionIsClosed guards against calls that keep the processor busy while
+// the session of a silent link is closed, as reads of yamux do then.
+func TestCallsEndBeforeTheirSessionIsClosed(t *testing.T) {
+	is := is.New(t)
+	released := make(chan struct{})
+	defer close(released)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections and never responds
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	timer := ticker.New()
+	defer timer.Close()
+	a := linker.New(logr.Discard(), timer, server.Instance{ID: "a", StartMillis: 1}, listener, linker.WithDial(func(_ context.Context, address string) (net.Conn, error) {
+		conn, err := net.Dial("tcp", address)
+		return hangingConn{conn, released}, err
+	}))
+	a.Start(echo)
+	a.UpdateMembers([]server.Instance{a.Self(), {ID: "b", Address: silent.Addr().String(), StartMillis: 1}})
+	var calls sync.WaitGroup
+	for range 20 {
+		calls.Go(func() {
+			_, err := a.Call(t.Context(), "b", rowsRequest("t"))
+			is.True(err != nil)
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		calls.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(waitTimeout):
+		t.Fatal("calls wait for the end of a session that is being closed")
+	}
+}
--- a/internal/server/linker/owner.go
+++ b/internal/server/linker/owner.go
@@ -29,8 +29,10 @@
 	available  []server.Instance
 	candidates []string
 	leaders    []string
-	// owners are those found so far, by name.
+	// owners are those of the names asked for so far. heirs are these owners and the instances
+	// that would own their names next.
 	owners map[string]string
+	heirs  map[string]bool
 }
 
 // isMesh reports whether all instances keep links to each other.
@@ -41,13 +43,13 @@
 // isLeader reports whether an instance is a leader.
 func (r *ranking) isLeader(id string) bool { return slices.Contains(r.leaders, id) }
 
-// maxCachedOwners bounds the owners that are kept. Names are those of services and duties.
-const maxCachedOwners = 1024
+// maxOwnedNames bounds the names whose owners are kept: those of services and duties.
+const maxOwnedNames = 64
 
 // currentRanking returns the ranking of the present members. The caller holds mu.
 func (l *Linker) currentRanking() *ranking {
 	if l.ranking == nil {
-		r := &ranking{owners: make(map[string]string)}
+		r := &ranking{owners: make(map[string]string), heirs: make(map[string]bool)}
 		for _, m := range l.members {
 			if m.downSince.IsZero() && !m.isLeaving {
 				r.available = append(r.available, m.Instance)
@@ -61,11 +63,23 @@
 		if len(r.available) > maxInstancesWithoutLeaders {
 			r.leaders = topByRendezvous("leaders", r.candidates, leaderCount)
 		}
+		for name := range l.ownedNames {
+			r.addOwner(name)
+		}
 		l.ranking = r
 	}
 	return l.ranking
 }
 
+// addOwner finds the owner of a name and its successor.
+func (r *ranking) addOwner(name string) {
+	top := topByRendezvous(name, r.candidates, 2)
+	r.owners[name] = top[0]
+	for _, id := range top {
+		r.heirs[id] = true
+	}
+}
+
 // OwnerID returns the ID of the instance that owns a name by rendezvous hashing. All
 // instances that see the same members return the same owner. Instances with a low
 // capacity weight own nothing.
@@ -73,14 +87,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.currentRanking()
-	owner, ok := r.owners[name]
-	if !ok {
-		owner = topByRendezvous(name, r.candidates, 1)[0]
-		if len(r.owners) < maxCachedOwners {
-			r.owners[name] = owner
-		}
+	if owner, ok := r.owners[name]; ok {
+		return owner
+	}
+	if len(l.ownedNames) >= maxOwnedNames {
+		return topByRendezvous(name, r.candidates, 1)[0]
 	}
-	return owner
+	l.ownedNames[name] = true
+	r.addOwner(name)
+	return r.owners[name]
 }
 
 // LeaderIDs returns the IDs of the instances that watch the store on behalf of all
--- a/internal/server/linker/plan.go
+++ b/internal/server/linker/plan.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"oriolemill.example/oriolemill/internal/server/peerer/encoder"
@@ -16,32 +17,36 @@
 	forwarderCount = 2
 	// everyone is the receiver of a frame that a leader forwards to all members.
 	everyone = "*"
-	// plannedDialDelay is how long an instance waits before it dials a leader: while many
-	// instances start, the leaders change with each of them.
-	plannedDialDelay = 300 * time.Millisecond
+	// plannedDialDelay is how long an instance waits before it dials a leader or an owner, and
+	// plannedDialJitter the bound of a random wait on top: while many instances start, leaders
+	// and owners change with each of them, and all of them dial the same ones.
+	plannedDialDelay  = 300 * time.Millisecond
+	plannedDialJitter = 2 * time.Second
 	// idleLinkTimeout is how long a link that was opened for a call stays open after it.
 	idleLinkTimeout = 5 * time.Second
 )
 
-// isPlanned reports whether this instance and a member keep a link: all are linked to all, or
-// one of them is a leader. The caller holds mu.
+// isPlanned reports whether this instance and a member keep a link: all are linked to all, one
+// of them is a leader, or this instance has asked for the owner of a name that the member owns
+// or would own next. The caller holds mu.
 func (l *Linker) isPlanned(id string) bool {
 	r := l.currentRanking()
-	return r.isMesh() || r.isLeader(l.self.ID) || r.isLeader(id)
+	return r.isMesh() || r.isLeader(l.self.ID) || r.isLeader(id) || r.heirs[id]
 }
 
 // openPlannedLinks begins to connect to the members that need a link and have none. Of two
 // instances the one with the lower ID dials first; the other one uses that link and dials only
 // if there is none by then. The caller holds mu.
 func (l *Linker) openPlannedLinks() {
-	delay := time.Duration(0)
-	if !l.currentRanking().isMesh() {
-		delay = plannedDialDelay
-	}
+	isMesh := l.currentRanking().isMesh()
 	for _, m := range l.members {
 		if !l.isPlanned(m.ID) || m.link != nil && !m.link.session.IsClosed() {
 			continue
 		}
+		delay := time.Duration(0)
+		if !isMesh {
+			delay = plannedDialDelay + dialJitter(l.self.ID, m.ID)
+		}
 		if l.self.ID < m.ID {
 			l.startReconnecting(m, delay)
 		} else {
@@ -50,6 +55,12 @@
 	}
 }
 
+// dialJitter returns the wait before two instances dial each other, which spreads the dials
+// of many.
+func dialJitter(a, b string) time.Duration {
+	return time.Duration(xxhash.Sum64String(min(a, b)+"\x00"+max(a, b)) % uint64(plannedDialJitter))
+}
+
 // closeIdleLinks closes the links that were opened for calls and have not been used for
 // idleLinkTimeout. The caller holds mu.
 func (l *Linker) closeIdleLinks(now time.Time) {
@@ -63,7 +74,7 @@
 			continue
 		}
 		m.link = nil
-		go func() { _ = k.session.Close() }()
+		go k.close()
 	}
 }
 
