--- a/internal/server/linker/link.go
+++ b/internal/server/linker/link.go
@@ -29,8 +29,8 @@
 	minReconnectDelay = 250 * time.Millisecond
 	maxReconnectDelay = 3 * time.Second
 	// secondDialDelay is how long the instance with the higher ID waits for the other one to
-	// dial, before it dials itself.
-	secondDialDelay = dialTimeout
+	// dial, twice if need be, before it dials itself. If both dial at once, both links stay.
+	secondDialDelay = 2*dialTimeout + minReconnectDelay + 500*time.Millisecond
 	// helloTimeout bounds the wait for the hello of an accepted link, and for the
 	// frame of an accepted call.
 	helloTimeout = 2 * time.Second
--- a/internal/server/linker/linker.go
+++ b/internal/server/linker/linker.go
@@ -2,8 +2,8 @@
 // is a yamux session, and each call is a stream of its own.
 //
 // In small deployments all instances keep links to each other. In larger ones each keeps
-// links to the leaders only, which forward broadcasts to all; other links are opened for
-// calls and closed when they are idle.
+// links to the leaders, which forward broadcasts to all, and to the owners that it has asked
+// for; other links are opened for calls and closed when they are idle.
 //
 // The store has a row for each member. A member that does not respond is down until it
 // responds on a new link.
