Add a failing test of replicas that leave after an outage of the store

Callers' requests reached a replica more than the allowed 2 s after it had left. Without the dropped history all 112 cases pass. With it 90 of 112 fail: an instance whose first response after the outage, to any of its watches, comes with the change keeps the replicas for 1.9 s more.

--- a/internal/server/gossiper/leader_test.go
+++ b/internal/server/gossiper/leader_test.go
@@ -31,6 +31,10 @@
 	// are answered when their wait ends, or never if isSilentAfterOutage is set.
 	outages             int
 	isSilentAfterOutage bool
+	// isMuted is set while watches miss all changes. Afterwards watches that began before
+	// historyStart, a version, are refused.
+	isMuted      bool
+	historyStart uint64
 }
 
 // callTimeout is how much longer than its wait a call may take.
@@ -87,6 +91,21 @@
 	s.isSilentAfterOutage = isSilent
 }
 
+// dropHistory makes all watches miss what is written in the next 1.2 s; then they are refused,
+// as the history is discarded.
+func (s *fakeStore) dropHistory() {
+	s.mu.Lock()
+	s.isMuted = true
+	s.mu.Unlock()
+	time.AfterFunc(1200*time.Millisecond, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.isMuted, s.historyStart = false, s.version
+		close(s.changed)
+		s.changed = make(chan struct{})
+	})
+}
+
 // setUnavailable makes the calls of instances hang, or lets them through again.
 func (s *fakeStore) setUnavailable(ids []string, unavailable bool) {
 	s.mu.Lock()
@@ -130,7 +149,7 @@
 	for {
 		c.mu.Lock()
 		era, afterInEra := server.SplitVersion(after)
-		isRestored := wait > 0 && (era != c.era || afterInEra > c.version)
+		isRestored := after > 0 && (era != c.era || afterInEra > c.version)
 		var rows []server.StoredRow
 		for _, row := range c.rows {
 			if row.Version > afterInEra {
@@ -139,8 +158,14 @@
 			}
 		}
 		version, _ := server.JoinVersion(c.era, c.version)
+		if after > 0 && c.isMuted {
+			rows, version = nil, after
+		}
 		changed, unavailable, refused := c.changed, c.unavailable[c.id], c.refused[c.id]
 		isInterrupted, isSilent := c.outages != outages, c.isSilentAfterOutage
+		if after > 0 && afterInEra < c.historyStart {
+			isRestored = true
+		}
 		c.mu.Unlock()
 		switch {
 		case isInterrupted && isSilent:
