Date the end of an outage of the store by the first response for any table

What callers saw: a piece of a request reached a stage replica 2,066 ms after the store had acknowledged that it leaves; 2,000 ms are allowed.

Cause: each table had its own recovery, the first response after its own failed calls. These waited for changes, up to 25 s, so a recovery was dated long after the store was back, and the deleted row of a replica that left then counted as one that had expired in the outage: the replica was kept for 1.9 s. Watches that were interrupted without an error, or cut by the store, had the same effect, or the opposite one: an instance that had noticed nothing removed all replicas whose rows had expired.

Change: an outage is a failed call and 2 s without a response for any table; the first response to any call ends it. After a failed call, calls do not wait for changes. At the end all watches begin anew, and the other instances are told, who do the same unless the store has served them meanwhile. A change that deletes up to an eighth of the replicas is in force at once, since in an outage most rows expire.

--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -112,7 +112,8 @@
 	}
 	i.registrar = registrar.New(log, timer, adapter.RowDecoder, settings.Tables, registrar.WithChangeHandler(i.applyView),
 		registrar.WithLeaders(func(table string) bool { return i.gossiper.HasLeader(table) }, func() bool { return i.gossiper.IsLeader() }, gossiper.LeaderWatchTimeout),
-		registrar.WithWatchTurns(func() (index, count int) { return i.linker.Position() }))
+		registrar.WithWatchTurns(func() (index, count int) { return i.linker.Position() }),
+		registrar.WithOutageHandler(func(outage server.Outage) { i.gossiper.NotifyOutageEnd(outage) }))
 	i.linker = linker.New(log, timer, i.self, listeners.peers, linker.WithUnreachableHandler(i.removeUnreachableInstance))
 	i.gossiper = gossiper.New(log, timer, i.registrar, i.linker)
 	budget := budgeter.New(timer, settings.Bounds.RetryRatio, settings.Bounds.RetrySlack, settings.Bounds.RetryWindow, i.linker.MemberCount)
--- a/internal/server/composer/counters.go
+++ b/internal/server/composer/counters.go
@@ -67,6 +67,9 @@
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_store_failures_total", Help: "Calls to the store that failed.",
 	}, i.registrar.FailureCount)
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_store_outages_total", Help: "Outages of the store that this instance has noticed or that others have announced.",
+	}, i.registrar.OutageCount)
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_replicas_left_by_response_total", Help: "Replicas taken out of service since a response of theirs stated that they are leaving.",
 	}, i.registrar.LeavingCount)
--- a/internal/server/gossiper/gossiper.go
+++ b/internal/server/gossiper/gossiper.go
@@ -64,6 +64,8 @@
 	// RecoveredAt returns when the store responded again, after failed calls, to the
 	// instance that read the newest changes of a table. It is zero if no call failed.
 	RecoveredAt(table string) time.Time
+	// RecordOutage records an outage of the store that another instance has noticed.
+	RecordOutage(outage server.Outage)
 }
 
 // PeerLinks carries frames to the other instances. It is safe for concurrent use.
@@ -200,8 +202,21 @@
 	return change
 }
 
+// NotifyOutageEnd announces that the store responds again, so that the other instances begin their
+// watches anew: an outage that they have not noticed may have interrupted them.
+func (g *Gossiper) NotifyOutageEnd(outage server.Outage) {
+	now := g.timer.Now()
+	g.links.Broadcast(&encoder.Frame{Body: &encoder.Frame_VersionAnnouncement{VersionAnnouncement: &encoder.VersionAnnouncement{
+		Outage: &encoder.StoreOutage{BeginAgeMs: encodeAge(now.Sub(outage.Begin)), EndAgeMs: encodeAge(now.Sub(outage.End))},
+	}}})
+}
+
 // HandleAnnouncement handles another instance's announcement.
 func (g *Gossiper) HandleAnnouncement(from string, announcement *encoder.VersionAnnouncement) {
+	if outage := announcement.GetOutage(); outage != nil {
+		now := g.timer.Now()
+		g.tables.RecordOutage(server.Outage{Begin: now.Add(-decodeAge(outage.GetBeginAgeMs())), End: now.Add(-decodeAge(outage.GetEndAgeMs()))})
+	}
 	for _, change := range announcement.GetTables() {
 		if announcement.GetIsLeader() {
 			g.recordLeader(from, change)
--- a/internal/server/gossiper/gossiper_test.go
+++ b/internal/server/gossiper/gossiper_test.go
@@ -80,7 +80,8 @@
 				m.gossiper.NotifyChanged()
 			}),
 			registrar.WithLeaders(func(table string) bool { return m.gossiper.HasLeader(table) }, func() bool { return m.gossiper.IsLeader() }, gossiper.LeaderWatchTimeout),
-			registrar.WithWatchTurns(func() (index, total int) { return i, count }))
+			registrar.WithWatchTurns(func() (index, total int) { return i, count }),
+			registrar.WithOutageHandler(func(outage server.Outage) { m.gossiper.NotifyOutageEnd(outage) }))
 		m.gossiper = gossiper.New(logr.Discard(), f.timer, m, m)
 		f.members = append(f.members, m)
 	}
--- a/internal/server/gossiper/leader_test.go
+++ b/internal/server/gossiper/leader_test.go
@@ -31,10 +31,11 @@
 	// are answered when their wait ends, or never if isSilentAfterOutage is set.
 	outages             int
 	isSilentAfterOutage bool
-	// isMuted is set while watches miss all changes. Afterwards watches that began before
-	// historyStart, a version, are refused.
-	isMuted      bool
-	historyStart uint64
+	// isMuted is set while watches miss all changes. Afterwards those in progress fail if
+	// isCutAfterMute is set, and watches from before historyStart, a version, are refused.
+	isMuted, isCutAfterMute bool
+	mutes                   int
+	historyStart            uint64
 }
 
 // callTimeout is how much longer than its wait a call may take.
@@ -92,14 +93,15 @@
 }
 
 // dropHistory makes all watches miss what is written in the next 1.2 s; then they are refused,
-// as the history is discarded.
-func (s *fakeStore) dropHistory() {
+// as the history is discarded. Those in progress fail if isCut is set.
+func (s *fakeStore) dropHistory(isCut bool) {
 	s.mu.Lock()
-	s.isMuted = true
+	s.isMuted, s.isCutAfterMute = true, isCut
 	s.mu.Unlock()
 	time.AfterFunc(1200*time.Millisecond, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		s.mutes++
 		s.isMuted, s.historyStart = false, s.version
 		close(s.changed)
 		s.changed = make(chan struct{})
@@ -143,7 +145,7 @@
 	defer cancel()
 	c.mu.Lock()
 	c.calls++
-	outages := c.outages
+	outages, mutes := c.outages, c.mutes
 	c.mu.Unlock()
 	end := time.After(wait)
 	for {
@@ -163,6 +165,7 @@
 		}
 		changed, unavailable, refused := c.changed, c.unavailable[c.id], c.refused[c.id]
 		isInterrupted, isSilent := c.outages != outages, c.isSilentAfterOutage
+		isCut := c.mutes != mutes && c.isCutAfterMute
 		if after > 0 && afterInEra < c.historyStart {
 			isRestored = true
 		}
@@ -179,6 +182,8 @@
 			case <-ctx.Done():
 				return nil, 0, ctx.Err()
 			}
+		case isCut:
+			return nil, 0, server.ErrUnavailable
 		case isRestored && !refused && !unavailable:
 			return nil, 0, server.ErrNotFound
 		case refused:
--- a/internal/server/gossiper/recovery_test.go
+++ b/internal/server/gossiper/recovery_test.go
@@ -9,20 +9,26 @@
 	"github.com/matryer/is"
 )
 
-// outageLength is the length of the outages of these tests, in which rows of replicas expire.
-const outageLength = 5200 * time.Millisecond
+const (
+	// outageLength is the length of the outages of these tests, in which rows of replicas expire.
+	outageLength = 5200 * time.Millisecond
+	// phaseLength is the time between two moments of a watch at which these tests begin.
+	phaseLength = 900 * time.Millisecond
+)
+
+var fleetSizes = []int{1, 3, 7, 9, 16, 20, 85}
 
 // TestReplicaThatLeavesAfterAnOutageIsRemovedInTime guards against requests to replicas that have
 // left: long after an outage of the store an instance took the first response to one of its
 // watches for the store's recovery, and kept replicas whose rows were deleted.
 func TestReplicaThatLeavesAfterAnOutageIsRemovedInTime(t *testing.T) {
-	for _, count := range []int{1, 3, 7, 9, 16, 20, 85} {
+	for _, count := range fleetSizes {
 		for _, isSilent := range []bool{false, true} {
 			for _, isHistoryDropped := range []bool{false, true} {
-				for phase := range 8 {
+				for phase := range phases(count) {
 					t.Run(fmt.Sprint(count, isSilent, isHistoryDropped, phase), func(t *testing.T) {
 						synctest.Test(t, func(t *testing.T) {
-							runLeaveAfterOutage(t, count, isSilent, isHistoryDropped, time.Duration(phase)*900*time.Millisecond)
+							runLeaveAfterOutage(t, count, isSilent, isHistoryDropped, time.Duration(phase)*phaseLength)
 						})
 					})
 				}
@@ -31,13 +37,55 @@
 	}
 }
 
-func runLeaveAfterOutage(t *testing.T, count int, isSilent, isHistoryDropped bool, phase time.Duration) {
-	is := is.New(t)
-	maxDelay, settle, leaders := maxSmallPlanDelay, settleTime, []string(nil)
+// TestReplicaThatLeavesWhileWatchesAreCutIsRemovedInTime guards against requests to a replica that
+// has left: the end of all watches was taken for an outage of the store, in which rows expire.
+func TestReplicaThatLeavesWhileWatchesAreCutIsRemovedInTime(t *testing.T) {
+	for _, count := range fleetSizes {
+		for phase := range phases(count) {
+			t.Run(fmt.Sprint(count, phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f, maxDelay, _ := newFleetOf(count)
+					defer f.stop()
+					s := newFakeStore()
+					f.watchStore(s)
+					const replicas = 24
+					for i := range replicas {
+						s.write(fmt.Sprint("r-", i), replicaValue, false)
+					}
+					time.Sleep(30*time.Second + time.Duration(phase)*phaseLength)
+					s.dropHistory(true)
+					s.write("r-0", "", true)
+					time.Sleep(maxDelay)
+					for _, m := range f.members {
+						is.Equal(len(m.View().Replicas(replicaService)), replicas-1)
+					}
+				})
+			})
+		}
+	}
+}
+
+// newFleetOf returns a fleet, with leaders if it is large, how late it may know that a replica
+// leaves, and how long after an outage this holds.
+func newFleetOf(count int) (f *fleet, maxDelay, settle time.Duration) {
 	if count > 16 {
-		maxDelay, settle, leaders = maxRemovalDelay, settleTime+time.Second, []string{"i-0", "i-1", "i-2", "i-3", "i-4"}
+		return newFleet(count, "i-0", "i-1", "i-2", "i-3", "i-4"), maxRemovalDelay, settleTime + time.Second
 	}
-	f := newFleet(count, leaders...)
+	return newFleet(count), maxSmallPlanDelay, settleTime
+}
+
+// phases returns how many moments of a watch are tried with a number of instances.
+func phases(count int) int {
+	if count > 20 {
+		return 2
+	}
+	return 8
+}
+
+func runLeaveAfterOutage(t *testing.T, count int, isSilent, isHistoryDropped bool, phase time.Duration) {
+	is := is.New(t)
+	f, maxDelay, settle := newFleetOf(count)
 	defer f.stop()
 	s := newFakeStore()
 	f.watchStore(s)
@@ -46,7 +94,7 @@
 	runOutage(f, s, isSilent)
 	time.Sleep(settle + 100*time.Millisecond)
 	if isHistoryDropped {
-		s.dropHistory()
+		s.dropHistory(false)
 	}
 	writeReplicas(s, "", true)
 	time.Sleep(maxDelay)
--- a/internal/server/registrar/follower.go
+++ b/internal/server/registrar/follower.go
@@ -60,8 +60,8 @@
 	isBehind bool
 	// quickResponses counts the watches in a row that ended quickly without a change.
 	quickResponses int
-	// isTurnDue is set after a change, which ends the watches of all instances at once, until
-	// the next watch.
+	// isTurnDue is set after a change or an outage, which end the watches of all instances at
+	// once, until the next watch.
 	isTurnDue bool
 	// failedSince is when the first of the failed calls failed.
 	failedSince time.Time
@@ -97,15 +97,19 @@
 	}
 	// Other instances may have announced newer versions than the store delivered.
 	f.version = max(f.version, f.registrar.Version(f.table))
-	startedAt := f.registrar.timer.Now()
-	rows, version, err := f.store.Watch(ctx, f.table, f.version, f.currentWatchTimeout())
+	startedAt, timeout := f.registrar.timer.Now(), f.currentWatchTimeout()
+	rows, version, isInterrupted, err := f.watch(ctx, timeout)
+	if isInterrupted {
+		f.isTurnDue = true
+		return 0
+	}
 	if errors.Is(err, server.ErrNotFound) {
 		f.isLoaded = false
 		f.registrar.log.Info("store has no history back to this version; reading the whole table", "table", f.table, "after", f.version)
 		return 0
 	}
 	if err != nil {
-		return f.recordFailure(ctx, err)
+		return f.recordFailure(ctx, err, startedAt, timeout)
 	}
 	recoveredAt := f.recordSuccess(false)
 	f.recordVersion(version)
@@ -129,6 +133,18 @@
 	return 0
 }
 
+// watch waits for changes of the table. isInterrupted is set if the store has recovered from an
+// outage meanwhile, as other calls show; the watch must then begin anew.
+func (f *follower) watch(ctx context.Context, timeout time.Duration) (rows []server.StoredRow, version uint64, isInterrupted bool, err error) {
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	period := f.registrar.availabilityPeriod()
+	defer context.AfterFunc(period, cancel)()
+	rows, version, err = f.store.Watch(watchCtx, f.table, f.version, timeout)
+	isInterrupted = err != nil && watchCtx.Err() != nil && ctx.Err() == nil
+	return rows, version, isInterrupted, err
+}
+
 // checkLeaders reports whether leaders watch the table for this instance, and logs
 // changes.
 func (f *follower) checkLeaders() bool {
@@ -141,8 +157,12 @@
 }
 
 // currentWatchTimeout returns how long the store may hold the next watch open. A leader's is
-// shorter by its wait after a change, so that the time between two responses is bounded.
+// shorter by its wait after a change, so that the time between two responses is bounded. After
+// a failed call the store must respond at once, so that its recovery is noticed.
 func (f *follower) currentWatchTimeout() time.Duration {
+	if f.failures > 0 {
+		return 0
+	}
 	if !f.registrar.isLeader() {
 		return f.turnTimeout()
 	}
@@ -178,9 +198,10 @@
 
 // loadTable reads the whole table and returns the wait before the next step.
 func (f *follower) loadTable(ctx context.Context) time.Duration {
+	startedAt := f.registrar.timer.Now()
 	rows, version, err := f.store.Load(ctx, f.table)
 	if err != nil {
-		return f.recordFailure(ctx, err)
+		return f.recordFailure(ctx, err, startedAt, 0)
 	}
 	known := f.registrar.Version(f.table)
 	wasRestored := f.version > 0 && server.IsEarlierEra(known, version)
@@ -208,29 +229,31 @@
 	f.isBehind = isBehind
 }
 
-// recordFailure records a failed call and returns the wait before the next step, with
-// exponential backoff and jitter.
-func (f *follower) recordFailure(ctx context.Context, err error) time.Duration {
+// recordFailure records a call that failed, which the store should have answered timeout after
+// startedAt. It returns the wait before the next step, with exponential backoff and jitter; the
+// time that the call took counts towards it.
+func (f *follower) recordFailure(ctx context.Context, err error, startedAt time.Time, timeout time.Duration) time.Duration {
 	if ctx.Err() != nil {
 		return 0
 	}
 	now := f.registrar.timer.Now()
-	f.registrar.failureCount.Add(1)
+	took := now.Sub(startedAt)
+	f.registrar.recordFailure(startedAt.Add(min(took, timeout)))
 	if f.failures == 0 {
 		f.failedSince = now
 		f.registrar.log.Info("call to the store failed", "table", f.table, "version", f.version, "cause", err.Error())
 	}
 	f.failures++
 	limit := min(baseRetryDelay<<min(f.failures, 8), maxRetryDelay)
-	return limit/2 + time.Duration(rand.Int64N(int64(limit)))
+	return max(limit/2+time.Duration(rand.Int64N(int64(limit)))-took, 0)
 }
 
 // recordSuccess records a response of the store and returns when the store last responded
-// to this instance after failed calls. The first response after a restore counts as one, since
-// replicas then write the rows again that the store has lost.
+// to this instance after failed calls, whichever table they were for.
 func (f *follower) recordSuccess(wasRestored bool) (recoveredAt time.Time) {
-	recoveredAt = f.registrar.recordResponse(f.table, wasRestored || f.failures > 0)
+	recoveredAt = f.registrar.recordResponse(f.table, wasRestored)
 	if f.failures > 0 {
+		f.isTurnDue = true
 		f.registrar.log.Info("store responds again", "table", f.table, "away_ms", f.registrar.timer.Now().Sub(f.failedSince).Milliseconds(), "failures", f.failures)
 	}
 	f.failures = 0
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -44,7 +44,7 @@
 	view       atomic.Pointer[View]
 	// onChange is called after each new view, without mu.
 	onChange func(*View)
-	// mu guards the fields from tables to lastResponse.
+	// mu guards the fields from tables to lastResponse, and availability.
 	mu     sync.Mutex
 	tables map[string]*table
 	// plan is the active plan, or nil before the first one.
@@ -61,13 +61,14 @@
 	// departed holds replicas that were removed; see departures.
 	departed departures
 	// planRow is the row of the active plan.
-	planRow server.StoredRow
-	// recoveredAt is when the store last responded to this instance after failed calls.
-	recoveredAt time.Time
+	planRow      server.StoredRow
+	availability availability
 	// lastResponse is when the store last responded to this instance, by table.
 	lastResponse map[string]time.Time
 	// failureCount is the number of calls of this instance to the store that failed.
 	failureCount atomic.Uint64
+	// outageCount is the number of outages of the store that this instance knows of.
+	outageCount atomic.Uint64
 	// leavingCount is the number of replicas that RecordLeaving has taken out of service.
 	leavingCount atomic.Uint64
 	// staleResponseCount is the number of responses of the store whose version was lower
@@ -77,6 +78,8 @@
 	isLeader           func() bool
 	leaderWatchTimeout time.Duration
 	watchPosition      func() (index, count int)
+	// onOutageEnd is called in a goroutine of its own.
+	onOutageEnd func(server.Outage)
 }
 
 // Option sets a property of a Registrar.
@@ -101,6 +104,12 @@
 	return func(r *Registrar) { r.watchPosition = position }
 }
 
+// WithOutageHandler sets a function that is called when the store responds again after an outage
+// that RecordOutage has not reported.
+func WithOutageHandler(onOutageEnd func(server.Outage)) Option {
+	return func(r *Registrar) { r.onOutageEnd = onOutageEnd }
+}
+
 // New returns a Registrar whose tables are empty.
 func New(log logr.Logger, timer server.Timer, decoder server.RowDecoder, names TableNames, options ...Option) *Registrar {
 	r := &Registrar{
@@ -108,6 +117,7 @@
 		tables:   map[string]*table{names.Plan: newTable(), names.Replicas: newTable(), TableInstances: newTable()},
 		replicas: make(map[string]server.Replica), pendingRemovals: make(map[string]time.Time),
 		instances: make(map[string]server.Instance), lastResponse: make(map[string]time.Time), stopRemovalTimer: func() {},
+		availability: newAvailability(), onOutageEnd: func(server.Outage) {},
 		hasLeader: func(string) bool { return false }, isLeader: func() bool { return false },
 	}
 	for _, option := range options {
@@ -146,6 +156,10 @@
 // FailureCount returns the number of calls of this instance to the store that failed.
 func (r *Registrar) FailureCount() uint64 { return r.failureCount.Load() }
 
+// OutageCount returns the number of outages of the store that this instance has noticed or that
+// other instances have announced to it.
+func (r *Registrar) OutageCount() uint64 { return r.outageCount.Load() }
+
 // StaleResponseCount returns the number of responses of the store whose version was lower
 // than the known one, so that they changed nothing.
 func (r *Registrar) StaleResponseCount() uint64 { return r.staleResponseCount.Load() }
@@ -161,17 +175,44 @@
 	return len(r.pendingRemovals)
 }
 
-// recordResponse records that the store responded to a call for a table, and whether
-// calls before it had failed. It returns when the store last responded after failed calls.
-func (r *Registrar) recordResponse(table string, afterFailure bool) (recoveredAt time.Time) {
+// recordResponse records that the store responded to a call for a table. It returns when the
+// store last responded to this instance, for any table, after failed calls.
+func (r *Registrar) recordResponse(table string, wasRestored bool) (recoveredAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.timer.Now()
 	r.lastResponse[table] = now
-	if afterFailure {
-		r.recoveredAt = now
+	if outage, isNew := r.availability.recordResponse(now, wasRestored); isNew {
+		r.outageCount.Add(1)
+		r.log.Info("outage of the store has ended; watches begin anew", "table", table, "begin_ms", now.Sub(outage.Begin).Milliseconds())
+		go r.onOutageEnd(outage)
 	}
-	return r.recoveredAt
+	return r.availability.recoveredAt
+}
+
+// RecordOutage records an outage of the store that another instance has noticed.
+func (r *Registrar) RecordOutage(outage server.Outage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.availability.recordOutage(outage) {
+		r.outageCount.Add(1)
+		r.log.Info("another instance has noticed an outage of the store; watches begin anew", "begin_ms", r.timer.Now().Sub(outage.Begin).Milliseconds(), "end_ms", r.timer.Now().Sub(outage.End).Milliseconds())
+	}
+}
+
+// recordFailure records a failed call that the store should have answered at dueAt.
+func (r *Registrar) recordFailure(dueAt time.Time) {
+	r.failureCount.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.availability.recordFailure(dueAt)
+}
+
+// availabilityPeriod returns a context that ends when the store recovers from an outage.
+func (r *Registrar) availabilityPeriod() context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.availability.period
 }
 
 // ApplyChanges applies changes of a table, which is then known up to version. recoveredAt
@@ -249,9 +290,12 @@
 		t.recoveredAt = recoveredAt
 	}
 	isRestored := wasLoaded && server.IsEarlierEra(versionBefore, t.version)
+	if !r.isExpiry(name, changedNames, t) {
+		recoveredAt = time.Time{}
+	}
 	for _, row := range changedNames {
 		if !isRestored || !r.isOutdated(name, row, t) {
-			r.applyRow(name, row, t)
+			r.applyRow(name, row, t, recoveredAt)
 		}
 	}
 	if isRestored && name == TableInstances {
@@ -266,8 +310,9 @@
 	r.onChange(view)
 }
 
-// applyRow applies one row that was written or deleted. The caller holds mu.
-func (r *Registrar) applyRow(name, key string, t *table) {
+// applyRow applies one row that was written or deleted. See removeReplica for recoveredAt. The
+// caller holds mu.
+func (r *Registrar) applyRow(name, key string, t *table, recoveredAt time.Time) {
 	row, exists := t.rows[key]
 	switch name {
 	case r.tableNames.Plan:
@@ -279,7 +324,7 @@
 			r.applyReplica(row)
 			return
 		}
-		r.removeReplica(key, t.recoveredAt)
+		r.removeReplica(key, recoveredAt)
 	case TableInstances:
 		if !exists {
 			delete(r.instances, key)
--- a/internal/server/registrar/replicas.go
+++ b/internal/server/registrar/replicas.go
@@ -6,6 +6,11 @@
 	"oriolemill.example/oriolemill/internal/server"
 )
 
+// minExpiredShare is the share of the replicas whose rows must be deleted by one change for it to
+// count as rows that have expired in an outage. Fewer replicas are taken to have left: that is the
+// usual case, and without them the others can serve.
+const minExpiredShare = 0.125
+
 // RecordLeaving takes an incarnation of a replica out of service that has stated in a response
 // that it is leaving, whatever the store's row says. Its next incarnation serves again.
 func (r *Registrar) RecordLeaving(replica *server.Replica) {
@@ -59,13 +64,27 @@
 	return replica.Sequence < current.Sequence || current.IsDraining && !replica.IsDraining
 }
 
-// removeReplica removes a replica whose row was deleted. If the instance that read the
-// deletion had been without the store until recoveredAt, the row may only have expired for
-// that reason: the removal is then postponed until recoveryGrace after that, unless the
-// replica is draining. The caller holds mu.
+// isExpiry reports whether the changes of a table may be rows of replicas that have expired in an
+// outage. Rows of most replicas expire then, as none can write to the store. The caller holds mu.
+func (r *Registrar) isExpiry(table string, changedNames []string, t *table) bool {
+	if table != r.tableNames.Replicas {
+		return false
+	}
+	deleted := 0
+	for _, name := range changedNames {
+		if _, exists := t.rows[name]; !exists {
+			deleted++
+		}
+	}
+	return float64(deleted) > minExpiredShare*float64(len(r.replicas))
+}
+
+// removeReplica removes a replica whose row was deleted. If the row may have expired in an outage
+// of the store until recoveredAt, the removal is postponed until recoveryGrace after that, unless
+// the replica is draining. The caller holds mu.
 //
-// Failed calls of other instances, and later ones, postpone nothing: the store may refuse
-// some instances while it serves the others and the replicas.
+// Outages that other instances have noticed postpone nothing, if the store has responded to the one
+// that read the deletion: it may refuse some instances while it serves the others and the replicas.
 func (r *Registrar) removeReplica(id string, recoveredAt time.Time) {
 	replica, exists := r.replicas[id]
 	if !exists {
