--- a/internal/server/assembler/assembler.go
+++ b/internal/server/assembler/assembler.go
@@ -193,7 +193,7 @@
 		policies.picker = picker.NewRandom()
 	}
 	i.orderer = orderer.New(orderer.Dependencies{
-		ID: i.id, Table: i.table, Service: i.caller, Picker: policies.picker, Timer: i.timer, Snapshot: i.controller.Snapshot,
+		ID: i.id, Table: i.table, Service: i.caller, Picker: policies.picker, Timer: i.timer, Snapshot: i.controller.Snapshot, RequestBlocker: i.blocker,
 	})
 	dependencies := runner.Dependencies{
 		Picker:   policies.picker,
@@ -207,7 +207,7 @@
 		Observer: policies.observer,
 		Timer:    i.timer,
 
-		PromptBlocker: i.blocker,
+		RequestBlocker: i.blocker,
 	}
 	requestRunner, err := runner.New(dependencies, i.controller.Snapshot)
 	if err != nil {
--- a/internal/server/assembler/prompts_test.go
+++ b/internal/server/assembler/prompts_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"oriolemill.example/oriolemill/internal/server"
+
 	"github.com/matryer/is"
 
 	"oriolemill.example/oriolemill/internal/standin"
@@ -19,12 +21,12 @@
 	instances := startLinkedInstances(t, environment, deployment.Datacentres()[0].Name())
 	parts := []string{"bad"}
 	for i := range 6 {
-		instances[fmt.Sprintf("j-%d", i%3)].Blocker().RecordCrash("engines", fmt.Sprintf("engine-%d", i), parts)
+		instances[fmt.Sprintf("j-%d", i%3)].Blocker().RecordCrash("engines", fmt.Sprintf("engine-%d", i), server.RequestContent{Parts: parts})
 	}
-	instances["j-0"].Blocker().RecordCompletion("engines", []string{"good"})
+	instances["j-0"].Blocker().RecordCompletion("engines", server.RequestContent{Parts: []string{"good"}})
 	for _, instance := range instances {
 		isBlocked := func() bool {
-			wait, _ := instance.Blocker().BlockedFor(parts)
+			wait, _ := instance.Blocker().BlockedFor(server.RequestContent{Parts: parts})
 			return wait > 0
 		}
 		for end := time.Now().Add(10 * time.Second); !isBlocked() && time.Now().Before(end); time.Sleep(time.Millisecond) {
--- a/internal/server/blocker/blocker.go
+++ b/internal/server/blocker/blocker.go
@@ -1,6 +1,9 @@
-// Package blocker finds the parts of prompts that crash replicas and blocks requests with them,
-// on all instances. Crashes are reported to a few instances, which compare them; before one of
-// these blocks a part, it asks all others whether they have completed requests with it.
+// Package blocker finds the requests, and the parts of prompts, that crash replicas and blocks
+// them on all instances. Crashes are reported to a few instances, which compare them; before one of
+// these blocks a request or part, it asks all others whether they have completed it.
+//
+// A request that comes again has the same keys, which are digests. Keys and the IDs of parts are treated
+// alike where nothing else is said, and called parts.
 package blocker
 
 import (
@@ -8,6 +11,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,7 +50,7 @@
 	Send(ctx context.Context, id string, frame *encoder.Frame) error
 }
 
-// Blocker implements server.PromptBlocker. It is safe for concurrent use.
+// Blocker implements server.RequestBlocker. It is safe for concurrent use.
 type Blocker struct {
 	log    logr.Logger
 	timer  server.Timer
@@ -132,15 +136,25 @@
 	return keys
 }
 
-// BlockedFor implements server.PromptBlocker.
-func (b *Blocker) BlockedFor(parts []string) (wait time.Duration, part string) {
-	if b.blockCount.Load() == 0 || len(parts) == 0 {
+// requestKeys returns those of the keys in a message that requests may have.
+func requestKeys(keys []string) []string {
+	return slices.DeleteFunc(keys[:min(len(keys), maxRequestKeys)], func(key string) bool { return !isRequestKey(key) || len(key) > maxPartBytes })
+}
+
+// allKeys returns the names in the tables of a request's parts, and its own keys.
+func allKeys(content server.RequestContent) []string {
+	return append(partKeys(content.Parts), content.Keys...)
+}
+
+// BlockedFor implements server.RequestBlocker.
+func (b *Blocker) BlockedFor(content server.RequestContent) (wait time.Duration, part string) {
+	if b.blockCount.Load() == 0 {
 		return 0, ""
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.timer.Now()
-	for _, key := range partKeys(parts) {
+	for _, key := range allKeys(content) {
 		if until, ok := b.blocks.isBlocked(key, now); ok && until.Sub(now) > wait {
 			wait, part = until.Sub(now), key
 		}
@@ -151,16 +165,13 @@
 	return wait, part
 }
 
-// RecordCompletion implements server.PromptBlocker.
-func (b *Blocker) RecordCompletion(service string, parts []string) {
-	if len(parts) == 0 {
-		return
-	}
+// RecordCompletion implements server.RequestBlocker.
+func (b *Blocker) RecordCompletion(service string, content server.RequestContent) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.timer.Now()
 	b.evidence.addCompletion(serviceKey(service), now)
-	for _, key := range partKeys(parts) {
+	for _, key := range allKeys(content) {
 		b.evidence.addCompletion(key, now)
 		if b.unblock(key, now) {
 			b.publishCompletion(key, now, now)
@@ -168,25 +179,22 @@
 	}
 }
 
-// RecordCrash implements server.PromptBlocker. It does not wait for the reports to other
+// RecordCrash implements server.RequestBlocker. It does not wait for the reports to other
 // instances.
-func (b *Blocker) RecordCrash(service, incarnation string, parts []string) {
-	if len(parts) == 0 {
-		return
-	}
+func (b *Blocker) RecordCrash(service, incarnation string, content server.RequestContent) {
 	b.crashCount.Add(1)
-	keys := partKeys(parts)
-	b.addCrash(service, incarnation, keys, b.timer.Now())
+	parts := partKeys(content.Parts)
+	b.addCrash(service, incarnation, content.Keys, parts, b.timer.Now())
 	for _, id := range b.links.HolderIDs(holderName, holderCount) {
-		b.send(id, &encoder.PromptParts{Service: service, Incarnation: incarnation, CrashedParts: keys})
+		b.send(id, &encoder.PromptParts{Service: service, Incarnation: incarnation, CrashedParts: parts, CrashedRequests: content.Keys})
 	}
 }
 
 // HandleMessage handles the message of another instance.
 func (b *Blocker) HandleMessage(from string, message *encoder.PromptParts) {
 	now := b.timer.Now()
-	if parts := message.GetCrashedParts(); len(parts) > 0 {
-		b.addCrash(message.GetService(), message.GetIncarnation(), partKeys(parts), now)
+	if incarnation := message.GetIncarnation(); incarnation != "" {
+		b.addCrash(message.GetService(), incarnation, requestKeys(message.GetCrashedRequests()), partKeys(message.GetCrashedParts()), now)
 	}
 	b.addCompletions(message.GetCompletions(), now)
 	b.addBlocks(message.GetBlocks(), now)
@@ -202,7 +210,7 @@
 	defer b.mu.Unlock()
 	var list []*encoder.PartCompletion
 	for _, key := range keys {
-		if at, ok := b.evidence.completions.find(key); ok {
+		if at, ok := b.evidence.completedAt(key); ok {
 			list = append(list, &encoder.PartCompletion{Part: key, AgeMs: uint32(max(now.Sub(at).Milliseconds(), 0))})
 		}
 	}
@@ -210,18 +218,24 @@
 }
 
 // addCrash adds a crash to the evidence, and schedules a query if a part is suspected now.
-func (b *Blocker) addCrash(service, incarnation string, keys []string, now time.Time) {
+func (b *Blocker) addCrash(service, incarnation string, requests, parts []string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, key := range keys {
-		if _, ok := b.blocks.isBlocked(key, now); ok {
+	for _, part := range parts {
+		if _, ok := b.blocks.isBlocked(part, now); ok {
 			// Sent before the part was blocked.
 			b.evidence.explained.add(b.evidence.nameIncarnation(incarnation, now), now)
 			return
 		}
 	}
-	b.evidence.addCrash(service, incarnation, keys, now)
-	for _, key := range keys {
+	b.evidence.addCrash(service, incarnation, requests, parts, now)
+	for _, request := range requests {
+		if _, ok := b.blocks.isBlocked(request, now); ok {
+			// Sent before the request was blocked.
+			b.evidence.explain(request)
+		}
+	}
+	for _, key := range slices.Concat(parts, requests) {
 		if counted := b.evidence.counted(key, now); b.ctx.Err() == nil && b.blocks.isOnProbation(key, now) && len(counted) > 0 {
 			b.evidence.explain(key)
 			b.beginBlock(conviction{part: key, since: counted[0].at}, now)
@@ -286,7 +300,7 @@
 	}
 	delete(b.blocks, part)
 	b.blockCount.Store(int64(len(b.blocks)))
-	b.log.Info("part of prompts not blocked any more: a request with it was completed", "part", part)
+	b.log.Info(describe(part)+" not blocked any more: a request with it was completed", "part", part)
 	return true
 }
 
@@ -309,7 +323,7 @@
 		return
 	}
 	b.blockCount.Store(int64(len(b.blocks)))
-	b.log.Info("part of prompts blocked: replicas crashed under requests with it", "part", c.part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
+	b.log.Info(describe(c.part)+" blocked: replicas crashed under requests with it", "part", c.part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
 	message := &encoder.PromptParts{Blocks: []*encoder.PartBlock{encodeBlock(c.part, added, now)}}
 	for _, id := range b.otherIDs() {
 		b.messages.Go(func() { b.deliver(id, message) })
@@ -323,13 +337,13 @@
 	defer b.mu.Unlock()
 	for _, message := range list {
 		part, added := message.GetPart(), decodeBlock(message, now)
-		if completedAt, ok := b.evidence.completions.find(part); ok && completedAt.After(added.since) {
+		if completedAt, ok := b.evidence.completedAt(part); ok && completedAt.After(added.since) {
 			b.publishCompletion(part, completedAt, now)
 			continue
 		}
 		if b.blocks.set(part, added) {
 			b.evidence.explain(part)
-			b.log.Info("part of prompts blocked by another instance", "part", part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
+			b.log.Info(describe(part)+" blocked by another instance", "part", part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
 		}
 	}
 	b.blockCount.Store(int64(len(b.blocks)))
@@ -372,6 +386,14 @@
 	_ = b.links.Send(ctx, id, &encoder.Frame{Body: &encoder.Frame_PromptParts{PromptParts: message}})
 }
 
+// describe returns what a key stands for, in log lines.
+func describe(key string) string {
+	if isRequestKey(key) {
+		return "request"
+	}
+	return "part of prompts"
+}
+
 // encodeBlock returns the message with a block. Times are sent as the time left and ages, since
 // clocks differ.
 func encodeBlock(part string, current block, now time.Time) *encoder.PartBlock {
--- a/internal/server/blocker/blocker_test.go
+++ b/internal/server/blocker/blocker_test.go
@@ -26,7 +26,9 @@
 	maxLearnDelay   = 3 * time.Second
 	maxLateRequests = 3
 	allowedCrashes  = 5
-	linkDelay       = 5 * time.Millisecond
+	// allowedRequestCrashes is allowedCrashes for one request.
+	allowedRequestCrashes = 3
+	linkDelay             = 5 * time.Millisecond
 )
 
 // fleet is many instances whose messages take linkDelay, or are lost.
@@ -125,20 +127,20 @@
 // send sends a request with parts at an instance, to a random replica, and reports whether it
 // was not blocked.
 func (f *fleet) send(e *engines, m *member, parts []string, crashes bool) bool {
-	if wait, _ := m.BlockedFor(parts); wait > 0 {
+	if wait, _ := m.BlockedFor(server.RequestContent{Parts: parts}); wait > 0 {
 		return false
 	}
 	replica := f.intN(18)
 	if crashes {
 		e.crashedAt = append(e.crashedAt, time.Now())
-		m.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), parts)
+		m.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), server.RequestContent{Parts: parts})
 		// Another request that ran there, at any instance.
 		victim := f.members[f.intN(len(f.members))]
-		victim.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), []string{"first", fmt.Sprint("doc", f.intN(20))})
+		victim.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), server.RequestContent{Parts: []string{"first", fmt.Sprint("doc", f.intN(20))}})
 		e.born[replica]++
 		return true
 	}
-	m.RecordCompletion("engine", parts)
+	m.RecordCompletion("engine", server.RequestContent{Parts: parts})
 	return true
 }
 
@@ -204,15 +206,15 @@
 		defer f.stop()
 		f.members[8].isCut = true
 		for i := range 6 {
-			f.members[8].RecordCrash("engine", fmt.Sprint("r-", i), []string{"a"})
-			f.members[8].RecordCompletion("engine", []string{"b"})
+			f.members[8].RecordCrash("engine", fmt.Sprint("r-", i), server.RequestContent{Parts: []string{"a"}})
+			f.members[8].RecordCompletion("engine", server.RequestContent{Parts: []string{"b"}})
 			for _, m := range f.members[:8] {
-				m.RecordCompletion("engine", []string{"a"})
+				m.RecordCompletion("engine", server.RequestContent{Parts: []string{"a"}})
 			}
 			time.Sleep(time.Second)
 		}
 		isBlocked := func(m *member) bool {
-			wait, _ := m.BlockedFor([]string{"a"})
+			wait, _ := m.BlockedFor(server.RequestContent{Parts: []string{"a"}})
 			return wait > 0
 		}
 		is.True(isBlocked(f.members[8])) // as far as it knows
@@ -233,24 +235,84 @@
 		f := newFleet(9, 1)
 		defer f.stop()
 		for i := range 6 {
-			f.members[i].RecordCrash("engine", fmt.Sprint("r-", i), []string{"a"})
+			f.members[i].RecordCrash("engine", fmt.Sprint("r-", i), server.RequestContent{Parts: []string{"a"}})
 		}
 		time.Sleep(100 * time.Millisecond)
-		f.members[8].RecordCompletion("engine", []string{"b"})
+		f.members[8].RecordCompletion("engine", server.RequestContent{Parts: []string{"b"}})
 		time.Sleep(time.Second)
 		for end := time.Now().Add(10 * time.Minute); time.Now().Before(end); time.Sleep(time.Second) {
-			wait, _ := f.members[0].BlockedFor([]string{"a"})
+			wait, _ := f.members[0].BlockedFor(server.RequestContent{Parts: []string{"a"}})
 			is.True(wait > 0 || time.Until(end) < 2*time.Second)
 		}
 		for _, m := range f.members {
-			wait, _ := m.BlockedFor([]string{"a"})
+			wait, _ := m.BlockedFor(server.RequestContent{Parts: []string{"a"}})
 			is.Equal(wait, time.Duration(0))
 		}
-		f.members[3].RecordCrash("engine", "r-9", []string{"a"}) // one more suffices now
+		f.members[3].RecordCrash("engine", "r-9", server.RequestContent{Parts: []string{"a"}}) // one more suffices now
 		time.Sleep(time.Second)
 		for _, m := range f.members {
-			wait, _ := m.BlockedFor([]string{"a"})
+			wait, _ := m.BlockedFor(server.RequestContent{Parts: []string{"a"}})
 			is.True(wait > 15*time.Minute)
 		}
 	})
 }
+
+// TestFleetBlocksCrashingRequestInTime guards against one request that comes again at any of up to 85
+// instances and crashes one replica after the other, while messages are lost and instances restart.
+func TestFleetBlocksCrashingRequestInTime(t *testing.T) {
+	for seed := range uint64(24) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			count := []int{1, 2, 3, 9, 20, 85}[seed%6]
+			f := newFleet(count, seed)
+			defer f.stop()
+			f.lossShare = 0.1 * float64(seed%3)
+			bad, isAlone := server.RequestContent{Keys: []string{server.ContentKey("bad")}}, seed >= 12
+			var crashedAt []time.Time
+			sound, served := 0, 0
+			for i := range 600 {
+				time.Sleep(time.Duration(5+f.intN(60)) * time.Millisecond)
+				m := f.members[f.intN(count)]
+				if i%6 == 5 {
+					if wait, _ := m.BlockedFor(bad); wait > 0 {
+						continue
+					}
+					crashedAt = append(crashedAt, time.Now())
+					incarnation := fmt.Sprint("r-", i)
+					m.RecordCrash("orders", incarnation, bad)
+					// Another request that ran there, at any instance.
+					f.members[f.intN(count)].RecordCrash("orders", incarnation, server.RequestContent{Keys: []string{server.ContentKey(fmt.Sprint(i - 1))}})
+					continue
+				}
+				if isAlone {
+					continue
+				}
+				content := server.RequestContent{Keys: []string{server.ContentKey(fmt.Sprint(i))}}
+				if sound++; isFree(m, content) {
+					served++
+				}
+				m.RecordCompletion("orders", content)
+				if count > 3 && i%150 == 100 {
+					f.restart(f.intN(count))
+					time.Sleep(maxLearnDelay) // it is not in touch before
+				}
+			}
+			is.True(len(crashedAt) >= allowedRequestCrashes)
+			late := 0
+			for _, at := range crashedAt[allowedRequestCrashes:] {
+				if at.Sub(crashedAt[allowedRequestCrashes-1]) > maxLearnDelay {
+					late++
+				}
+			}
+			if late > maxLateRequests {
+				t.Errorf("seed %d: %d late requests of %d at %d instances", seed, late, len(crashedAt), count)
+			}
+			is.Equal(served, sound)
+		})
+	}
+}
+
+func isFree(m *member, content server.RequestContent) bool {
+	wait, _ := m.BlockedFor(content)
+	return wait == 0
+}
--- a/internal/server/blocker/blocks.go
+++ b/internal/server/blocker/blocks.go
@@ -3,10 +3,12 @@
 import "time"
 
 const (
-	// blockDuration is how long a part is blocked for the first time. Each further time
-	// doubles it, up to maxBlockDuration.
-	blockDuration    = 10 * time.Minute
-	maxBlockDuration = 4 * time.Hour
+	// blockDuration is how long a part is blocked for the first time, and requestBlockDuration
+	// that for one request, which may only have run beside the cause. Each further time doubles
+	// them, up to maxBlockDuration.
+	blockDuration        = 10 * time.Minute
+	requestBlockDuration = 2 * time.Minute
+	maxBlockDuration     = 4 * time.Hour
 	// probation is how long after the end of a block a single crash suffices to block the
 	// part again.
 	probation = time.Hour
@@ -42,8 +44,11 @@
 
 // next returns the block that begins now for a part.
 func (b blocks) next(part string, since, now time.Time) block {
-	times := b[part].times + 1
-	return block{until: now.Add(min(blockDuration<<min(times-1, 8), maxBlockDuration)), since: since, times: times}
+	times, duration := b[part].times+1, blockDuration
+	if isRequestKey(part) {
+		duration = requestBlockDuration
+	}
+	return block{until: now.Add(min(duration<<min(times-1, 8), maxBlockDuration)), since: since, times: times}
 }
 
 // set adds a block unless it is known, and reports whether it did. A known block keeps its end,
--- a/internal/server/blocker/evidence.go
+++ b/internal/server/blocker/evidence.go
@@ -4,12 +4,19 @@
 	"slices"
 	"strings"
 	"time"
+
+	"oriolemill.example/oriolemill/internal/server"
 )
 
 const (
 	// minCrashes is the number of incarnations of replicas that must have crashed under
-	// requests with a part until it is blocked.
-	minCrashes = 4
+	// requests with a part until it is blocked, and minRequestCrashes that for one request.
+	minCrashes        = 4
+	minRequestCrashes = 3
+	// minCrashSpread is the time between the first and the last crash under one request from
+	// which it is blocked although its service completes no others: all replicas of the service
+	// may be down for the most part, because of the request.
+	minCrashSpread = time.Second
 	// completionMargin is how long before the first of these crashes no request with the part
 	// may have been completed, so that many crashes at one moment, for another reason, prove
 	// nothing against a part that other replicas serve.
@@ -20,16 +27,21 @@
 	maxSuspects       = 4096
 	maxCrashesPerPart = 16
 	maxCompletions    = 8192
-	maxExplained      = 4096
-	maxPartBytes      = 64
-	maxParts          = 256
-	maxServices       = 32
+	// maxRequestCompletions bounds the completed requests; most come once only.
+	maxRequestCompletions = 2048
+	maxExplained          = 4096
+	maxPartBytes          = 64
+	maxParts              = 256
+	maxRequestKeys        = 4
+	maxServices           = 32
 )
 
 // crash is the end of an incarnation of a service's replica while it ran a request.
 type crash struct {
 	service, incarnation string
-	at                   time.Time
+	// requests are the keys of the request.
+	requests []string
+	at       time.Time
 }
 
 // evidence is what is known for and against the parts of prompts. It uses no clock and is not
@@ -40,9 +52,15 @@
 	// completions holds, by part, when a request with the part was last completed, and by
 	// serviceKey, when any request was.
 	completions recentTimes
+	// requestCompletions holds, by request, when it was last completed.
+	requestCompletions recentTimes
 	// explained holds the incarnations that crashed under requests with a part that was
 	// blocked. They count against no other part.
 	explained recentTimes
+	// explainedBy holds, by incarnation, the blocked request under which it crashed. The crash
+	// counts against no other request, nor against a part of another one that ran beside it.
+	// Whether a part of the blocked request is the cause remains open.
+	explainedBy map[string]string
 	// restartTime is zero if incarnations are known. Otherwise replicas are known by their
 	// IDs only, and a crash that follows the last one of its replica by more than this is one
 	// of its next incarnation.
@@ -53,7 +71,8 @@
 
 func newEvidence() *evidence {
 	return &evidence{
-		crashes: make(map[string][]crash), lastCrashes: make(map[string]crash), completions: recentTimes{limit: maxCompletions}, explained: recentTimes{limit: maxExplained},
+		crashes: make(map[string][]crash), lastCrashes: make(map[string]crash), explainedBy: make(map[string]string),
+		completions: recentTimes{limit: maxCompletions}, requestCompletions: recentTimes{limit: maxRequestCompletions}, explained: recentTimes{limit: maxExplained},
 	}
 }
 
@@ -61,10 +80,13 @@
 // longer than any.
 func serviceKey(service string) string { return strings.Repeat("/", maxPartBytes) + service }
 
-// addCrash records that an incarnation crashed under a request with the parts.
-func (e *evidence) addCrash(service, incarnation string, parts []string, at time.Time) {
+// isRequestKey reports whether a key is that of a request.
+func isRequestKey(key string) bool { return strings.HasPrefix(key, server.ContentKeyPrefix) }
+
+// addCrash records that an incarnation crashed under a request with the keys and parts.
+func (e *evidence) addCrash(service, incarnation string, requests, parts []string, at time.Time) {
 	incarnation = e.nameIncarnation(incarnation, at)
-	for _, part := range parts {
+	for _, part := range slices.Concat(parts, requests) {
 		known := e.crashes[part]
 		if slices.ContainsFunc(known, func(c crash) bool { return c.incarnation == incarnation }) {
 			continue
@@ -72,7 +94,7 @@
 		if known == nil && len(e.crashes) >= maxSuspects {
 			e.dropOldestSuspect()
 		}
-		known = append(known, crash{service: service, incarnation: incarnation, at: at})
+		known = append(known, crash{service: service, incarnation: incarnation, requests: requests, at: at})
 		slices.SortFunc(known, func(a, b crash) int { return a.at.Compare(b.at) })
 		e.crashes[part] = known[max(0, len(known)-maxCrashesPerPart):]
 	}
@@ -106,27 +128,68 @@
 }
 
 // addCompletion records that a request with the part was completed.
-func (e *evidence) addCompletion(part string, at time.Time) { e.completions.add(part, at) }
+func (e *evidence) addCompletion(part string, at time.Time) {
+	if isRequestKey(part) {
+		e.requestCompletions.add(part, at)
+		return
+	}
+	e.completions.add(part, at)
+}
+
+// completedAt returns when a request with the part was last completed.
+func (e *evidence) completedAt(part string) (time.Time, bool) {
+	if isRequestKey(part) {
+		return e.requestCompletions.find(part)
+	}
+	return e.completions.find(part)
+}
+
+// isExplained reports whether the cause of a crash is known, and is not the part.
+func (e *evidence) isExplained(c crash, part string) bool {
+	if _, ok := e.explained.find(c.incarnation); ok {
+		return true
+	}
+	request, ok := e.explainedBy[c.incarnation]
+	return ok && request != part && !slices.Contains(c.requests, request)
+}
 
 // counted returns the crashes that count against a part.
 func (e *evidence) counted(part string, now time.Time) []crash {
 	var list []crash
-	completedAt, hasCompleted := e.completions.find(part)
+	completedAt, hasCompleted := e.completedAt(part)
 	for _, c := range e.crashes[part] {
-		_, isExplained := e.explained.find(c.incarnation)
 		isExonerated := hasCompleted && !c.at.After(completedAt.Add(completionMargin))
-		if !isExplained && !isExonerated && now.Sub(c.at) < crashMaxAge {
+		if !e.isExplained(c, part) && !isExonerated && now.Sub(c.at) < crashMaxAge {
 			list = append(list, c)
 		}
 	}
 	return list
 }
 
+// isSuspect reports whether the crashes that count against a part are enough. Those under a single
+// request say nothing about its parts.
+func isSuspect(part string, counted []crash) bool {
+	if isRequestKey(part) {
+		return len(counted) >= minRequestCrashes
+	}
+	if len(counted) < minCrashes {
+		return false
+	}
+	return !isSameRequest(counted)
+}
+
+// isSameRequest reports whether all crashes were under one request.
+func isSameRequest(list []crash) bool {
+	return !slices.ContainsFunc(list, func(c crash) bool {
+		return len(c.requests) == 0 || c.requests[0] != list[0].requests[0]
+	})
+}
+
 // suspects returns the parts against which enough crashes count.
 func (e *evidence) suspects(now time.Time) []string {
 	var parts []string
 	for part := range e.crashes {
-		if len(e.counted(part, now)) >= minCrashes {
+		if isSuspect(part, e.counted(part, now)) {
 			parts = append(parts, part)
 		}
 	}
@@ -143,9 +206,13 @@
 // isContrasted reports whether requests without the part have been completed since the first of the
 // crashes that count against it, by the service at which it crashed. Otherwise the service may
 // fail for all requests alike. Requests with the part were completed before these crashes only.
-func (e *evidence) isContrasted(counted []crash) bool {
-	completedAt, ok := e.completions.find(serviceKey(counted[len(counted)-1].service))
-	return ok && completedAt.After(counted[0].at)
+func (e *evidence) isContrasted(part string, counted []crash) bool {
+	first, last := counted[0], counted[len(counted)-1]
+	if isRequestKey(part) && last.at.Sub(first.at) >= minCrashSpread {
+		return true
+	}
+	completedAt, ok := e.completions.find(serviceKey(last.service))
+	return ok && completedAt.After(first.at)
 }
 
 // queries returns the keys of the completions that other instances are asked for: up to maxParts
@@ -186,11 +253,11 @@
 	most := 0
 	for _, part := range queried {
 		counted := e.counted(part, now)
-		if len(counted) < minCrashes || !e.isContrasted(counted) {
+		if !isSuspect(part, counted) || !e.isContrasted(part, counted) {
 			continue
 		}
 		score := 2 * len(counted)
-		if _, hasCompleted := e.completions.find(part); !hasCompleted {
+		if _, hasCompleted := e.completedAt(part); !hasCompleted {
 			score++
 		}
 		if score > most {
@@ -203,9 +270,17 @@
 	return worst
 }
 
-// explain counts the crashes under a part that is blocked against no other part.
+// explain counts the crashes under a part that is blocked against no other part; see explainedBy
+// for a request.
 func (e *evidence) explain(part string) {
+	if len(e.explainedBy) >= maxExplained {
+		clear(e.explainedBy)
+	}
 	for _, c := range e.crashes[part] {
+		if isRequestKey(part) {
+			e.explainedBy[c.incarnation] = part
+			continue
+		}
 		e.explained.add(c.incarnation, c.at)
 	}
 	delete(e.crashes, part)
--- a/internal/server/blocker/evidence_test.go
+++ b/internal/server/blocker/evidence_test.go
@@ -36,7 +36,7 @@
 	e.addCompletion("first", at(0))
 	for i := range minCrashes {
 		is.Equal(len(convicted(e, at(10))), 0)
-		e.addCrash(testService, fmt.Sprint("r", i), []string{"first", "bad"}, at(1+float64(i)))
+		e.addCrash(testService, fmt.Sprint("r", i), nil, []string{"first", "bad"}, at(1+float64(i)))
 	}
 	is.Equal(len(convicted(e, at(8))), 0) // no other request was completed since
 	e.addCompletion("first", at(9))
@@ -52,7 +52,7 @@
 	e := newEvidence()
 	e.addCompletion("first", at(9))
 	for i := range 20 {
-		e.addCrash(testService, fmt.Sprint("r", i), []string{"first"}, at(10))
+		e.addCrash(testService, fmt.Sprint("r", i), nil, []string{"first"}, at(10))
 	}
 	is.Equal(len(convicted(e, at(10.5))), 0)
 }
@@ -63,7 +63,7 @@
 	is := is.New(t)
 	e := newEvidence()
 	for i := range 20 {
-		e.addCrash(testService, "r1", []string{"a"}, at(float64(i)))
+		e.addCrash(testService, "r1", nil, []string{"a"}, at(float64(i)))
 	}
 	is.Equal(len(convicted(e, at(20))), 0)
 }
@@ -76,14 +76,14 @@
 	e.addCompletion("seen", at(0)) // with as many crashes, but completed once
 	for i := range minCrashes + 1 {
 		r := fmt.Sprint("r", i)
-		e.addCrash(testService, r, []string{"seen", "bad"}, at(5+float64(i)))
+		e.addCrash(testService, r, nil, []string{"seen", "bad"}, at(5+float64(i)))
 		if i > 0 {
-			e.addCrash(testService, r, []string{"beside"}, at(5+float64(i)))
+			e.addCrash(testService, r, nil, []string{"beside"}, at(5+float64(i)))
 		}
 	}
 	complete(e, at(19))
 	is.Equal(convicted(e, at(20)), []string{"bad"})
-	e.addCrash(testService, "r9", []string{"beside"}, at(21))
+	e.addCrash(testService, "r9", nil, []string{"beside"}, at(21))
 	is.Equal(len(convicted(e, at(21))), 0)
 }
 
@@ -91,7 +91,7 @@
 	is := is.New(t)
 	e := newEvidence()
 	for i := range minCrashes {
-		e.addCrash(testService, fmt.Sprint("r", i), []string{"a"}, at(float64(i)))
+		e.addCrash(testService, fmt.Sprint("r", i), nil, []string{"a"}, at(float64(i)))
 	}
 	is.Equal(e.suspects(at(10)), []string{"a"})
 	is.Equal(len(e.suspects(at(10).Add(crashMaxAge))), 0)
@@ -105,7 +105,7 @@
 	e, b := newEvidence(), make(blocks)
 	for i := range 3 * maxCompletions {
 		part := fmt.Sprint("p", i)
-		e.addCrash(testService, fmt.Sprint("r", i), []string{part, "all"}, at(float64(i)))
+		e.addCrash(testService, fmt.Sprint("r", i), nil, []string{part, "all"}, at(float64(i)))
 		e.addCompletion(part, at(float64(i)))
 		b.set(part, b.next(part, start, at(float64(i))))
 	}
@@ -132,7 +132,7 @@
 	complete(e, at(0))
 	e.addCompletion(serviceKey("another"), at(50))
 	for i := range 2 * minCrashes {
-		e.addCrash(testService, fmt.Sprint("r", i), []string{"first", "bad"}, at(5+float64(i)))
+		e.addCrash(testService, fmt.Sprint("r", i), nil, []string{"first", "bad"}, at(5+float64(i)))
 	}
 	is.Equal(len(convicted(e, at(50))), 0)
 	e.addCompletion("first", at(51)) // the service is back
@@ -146,7 +146,7 @@
 	is := is.New(t)
 	e := newEvidence()
 	for i := range minCrashes {
-		e.addCrash(testService, fmt.Sprint("r", i), []string{"a"}, at(float64(i)))
+		e.addCrash(testService, fmt.Sprint("r", i), nil, []string{"a"}, at(float64(i)))
 	}
 	complete(e, at(4))
 	is.Equal(len(e.convict([]string{"b"}, at(5))), 0)
--- a/internal/server/caller/engine.go
+++ b/internal/server/caller/engine.go
@@ -26,11 +26,7 @@
 	check := &sendCheck{check: call.BeforeSend}
 	response, err := c.post(withSendCheck(ctx, check), upstream, messenger.PathGenerate, call.Traceparent, c.generateRequest(call, prompt))
 	if err != nil {
-		err = check.sendError(ctx, err)
-		if check.sendState() != server.SendStateUnsent {
-			err = connectionLost(ctx, err)
-		}
-		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), err)
+		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), check.responseError(ctx, err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response); err != nil {
--- a/internal/server/caller/pool.go
+++ b/internal/server/caller/pool.go
@@ -18,10 +18,10 @@
 	check := &sendCheck{check: call.BeforeSend}
 	response, err := c.post(withSendCheck(ctx, check), upstream, messenger.PathRun, call.Traceparent, c.runRequest(upstream, call))
 	if err != nil {
-		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), check.sendError(ctx, err))
+		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), check.responseError(ctx, err))
 	}
 	defer discardBody(response.Body)
-	answer, err := readAnswer(response, call)
+	answer, err := readAnswer(ctx, response, call)
 	if err != nil {
 		return server.Answer{}, server.NewFault(call.Stage, upstream.ID(), err)
 	}
@@ -54,13 +54,13 @@
 
 // readAnswer reads a response. The error is ErrMismatch if the response is
 // incomplete or belongs to another call.
-func readAnswer(response *http.Response, call server.Call) (server.Answer, error) {
+func readAnswer(ctx context.Context, response *http.Response, call server.Call) (server.Answer, error) {
 	if err := statusError(response); err != nil {
 		return server.Answer{}, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return server.Answer{}, merry.Prepend(server.ErrUnavailable, err.Error())
+		return server.Answer{}, connectionLost(ctx, transportError(ctx, err))
 	}
 	var message messenger.RunAnswer
 	if err := json.Unmarshal(body, &message); err != nil {
--- a/internal/server/caller/send_check.go
+++ b/internal/server/caller/send_check.go
@@ -73,6 +73,16 @@
 	return transportError(ctx, err)
 }
 
+// responseError is sendError for a call that may be repeated. It is also server.ErrConnectionLost if
+// the call was sent.
+func (s *sendCheck) responseError(ctx context.Context, err error) error {
+	err = s.sendError(ctx, err)
+	if s.sendState() == server.SendStateUnsent {
+		return err
+	}
+	return connectionLost(ctx, err)
+}
+
 // withSendCheck returns a context for one call of an HTTP client whose connections
 // dialChecked opens. The call's first byte is subject to check, on a new connection as on
 // one that earlier calls have used.
--- a/internal/server/caller/service.go
+++ b/internal/server/caller/service.go
@@ -25,15 +25,15 @@
 	response, err := c.postWith(ctx, client, upstream, path, call.Traceparent, c.runRequest(upstream, call))
 	if err != nil {
 		if call.IdempotencyKey == "" {
-			return server.Answer{}, server.SendStateUnknown, server.NewFault(call.Stage, upstream.ID(), check.sendError(ctx, err))
+			return server.Answer{}, server.SendStateUnknown, server.NewFault(call.Stage, upstream.ID(), check.responseError(ctx, err))
 		}
 		if refusal := check.refusal(); refusal != nil {
 			return server.Answer{}, server.SendStateUnsent, server.NewFault(call.Stage, upstream.ID(), refusal)
 		}
-		return server.Answer{}, check.sendState(), server.NewFault(call.Stage, upstream.ID(), transportError(ctx, err))
+		return server.Answer{}, check.sendState(), server.NewFault(call.Stage, upstream.ID(), check.responseError(ctx, err))
 	}
 	defer discardBody(response.Body)
-	answer, err := readOperation(response, call)
+	answer, err := readOperation(ctx, response, call)
 	if err != nil {
 		return server.Answer{}, server.SendStateUnknown, server.NewFault(call.Stage, upstream.ID(), err)
 	}
@@ -42,11 +42,11 @@
 
 // readOperation reads the response to an operation. Status 409 means that the
 // service rejected an outdated fencing number.
-func readOperation(response *http.Response, call server.Call) (server.Answer, error) {
+func readOperation(ctx context.Context, response *http.Response, call server.Call) (server.Answer, error) {
 	if response.StatusCode == http.StatusConflict {
 		return server.Answer{}, merry.Wrap(server.ErrConflict)
 	}
-	return readAnswer(response, call)
+	return readAnswer(ctx, response, call)
 }
 
 // OrderStatus implements server.Service.
--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -128,7 +128,7 @@
 	i.blocker = blocker.New(log, timer, i.linker)
 	i.relayer = relayer.New(relayer.Dependencies{
 		Log: log, Timer: timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
-		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, PromptBlocker: i.blocker, Limits: i.throttler, Meter: i.meter,
+		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, RequestBlocker: i.blocker, Limits: i.throttler, Meter: i.meter,
 	})
 	i.fronter = fronter.New(log, listeners.clients, i.relayer)
 	i.registerCounters()
--- a/internal/server/decision.go
+++ b/internal/server/decision.go
@@ -62,9 +62,8 @@
 	Prompt string
 	// BlockHashes are the chained hashes of the complete blocks of Prompt; engines only.
 	BlockHashes []uint64
-	// SharedParts are the IDs of the parts of Prompt that other requests may have too;
-	// engines only.
-	SharedParts []string
+	// Content is what calls with this input are recognized by if they crash upstreams.
+	Content RequestContent
 	// Model is the model or adapter that the engine must have loaded; may be empty.
 	Model string
 	// Version is the software version that the replica must have, unless it is nil: that of
--- a/internal/server/fault.go
+++ b/internal/server/fault.go
@@ -43,9 +43,9 @@
 	// complete, as one that crashes does. Such an error also matches ErrUnavailable or
 	// ErrMismatch.
 	ErrConnectionLost = merry.New("connection lost")
-	// ErrPromptBlocked means that a part of the prompt has crashed replicas, so that no
+	// ErrRequestBlocked means that the request, or a part of its prompt, has crashed replicas, so that no
 	// replica gets it.
-	ErrPromptBlocked = merry.New("a part of the prompt has crashed replicas")
+	ErrRequestBlocked = merry.New("the request or a part of its prompt has crashed replicas")
 	// ErrInvalid means that the request or document is malformed.
 	ErrInvalid = merry.New("invalid")
 	// ErrTokenRejected means that an upstream rejected the token of a call and did not
--- a/internal/server/listener/problem.go
+++ b/internal/server/listener/problem.go
@@ -56,7 +56,7 @@
 		return http.StatusConflict
 	case errors.Is(err, server.ErrNotFound):
 		return http.StatusNotFound
-	case errors.Is(err, server.ErrNoUpstream), errors.Is(err, server.ErrPromptBlocked):
+	case errors.Is(err, server.ErrNoUpstream), errors.Is(err, server.ErrRequestBlocked):
 		return http.StatusServiceUnavailable
 	case errors.Is(err, server.ErrOverload), errors.Is(err, server.ErrUnavailable) && outcome == server.OutcomeNotRun:
 		return http.StatusServiceUnavailable
--- a/internal/server/orderer/cluster_test.go
+++ b/internal/server/orderer/cluster_test.go
@@ -218,7 +218,8 @@
 // add starts an instance. An ID that is in use stands for a restarted instance.
 func (c *cluster) add(id string) *orderer.Orderer {
 	o := orderer.New(orderer.Dependencies{
-		ID: id, Table: guarder.New(c.memoryTable, c.timer.Now), Service: c.service, Picker: fixedPicker{c.upstream},
+		RequestBlocker: noBlocker{},
+		ID:             id, Table: guarder.New(c.memoryTable, c.timer.Now), Service: c.service, Picker: fixedPicker{c.upstream},
 		Timer: c.timer, Snapshot: func() *server.Snapshot { return c.snapshot },
 	})
 	o.Start()
@@ -256,3 +257,10 @@
 	}
 	return fault.Outcome(), err
 }
+
+// noBlocker blocks no order.
+type noBlocker struct{}
+
+func (noBlocker) BlockedFor(server.RequestContent) (time.Duration, string) { return 0, "" }
+func (noBlocker) RecordCrash(string, string, server.RequestContent)        {}
+func (noBlocker) RecordCompletion(string, server.RequestContent)           {}
--- a/internal/server/orderer/execution.go
+++ b/internal/server/orderer/execution.go
@@ -227,6 +227,10 @@
 // send makes one attempt. beforeSend decides right before the first byte
 // whether it may be sent.
 func (e *execution) send(ctx context.Context) phaseResult {
+	content := server.RequestContent{Keys: []string{server.ContentKey(e.request.Workspace, e.service.Name(), e.request.Kind.Operation(), string(e.request.Input))}}
+	if err := e.checkBlocked(content); err != nil {
+		return phaseResult{err: err, noRetry: true}
+	}
 	upstream := e.pickUpstream()
 	if upstream == nil {
 		return phaseResult{err: server.NewFault(e.order.claim.Operation, e.service.Name(), server.ErrNoUpstream), noRetry: true}
@@ -241,6 +245,9 @@
 			if !e.orderer.dependencies.Snapshot().IsServing(upstream) {
 				return server.ErrLeaving
 			}
+			if err := e.checkBlocked(content); err != nil {
+				return err
+			}
 			return e.beforeSend()
 		},
 	}
@@ -249,6 +256,7 @@
 	upstream.Gauge().Begin()
 	answer, sendState, err := e.orderer.dependencies.Service.Operate(ctx, upstream, call)
 	upstream.Gauge().End(err == nil)
+	e.recordContent(upstream, content, err)
 	r := phaseResult{answer: answer, sendState: sendState, err: err}
 	// After an attempt that provably did not run, the caller can cancel the order again.
 	if err != nil && e.order.provesNotRun(r) {
@@ -258,6 +266,25 @@
 	return r
 }
 
+// checkBlocked returns server.ErrRequestBlocked if orders with this content crash replicas.
+func (e *execution) checkBlocked(content server.RequestContent) error {
+	wait, cause := e.orderer.dependencies.RequestBlocker.BlockedFor(content)
+	if wait == 0 {
+		return nil
+	}
+	return server.NewFault(e.order.claim.Operation, e.service.Name(), merry.Prepend(server.ErrRequestBlocked, cause), server.WithRetryAfter(wait))
+}
+
+// recordContent records for the content of an order how an attempt ended.
+func (e *execution) recordContent(upstream *server.Upstream, content server.RequestContent, err error) {
+	switch {
+	case err == nil:
+		e.orderer.dependencies.RequestBlocker.RecordCompletion(e.service.Name(), content)
+	case errors.Is(err, server.ErrConnectionLost):
+		e.orderer.dependencies.RequestBlocker.RecordCrash(e.service.Name(), upstream.ID(), content)
+	}
+}
+
 // responseDeadline returns the time until which to wait for the response to an
 // attempt. At a fenced service with a status endpoint, that is before the request's
 // deadline, to leave time for a status request, which gives a certain outcome. At
--- a/internal/server/orderer/orderer.go
+++ b/internal/server/orderer/orderer.go
@@ -25,6 +25,8 @@
 	Timer   server.Timer
 	// Snapshot returns the current snapshot, for picks and recovery.
 	Snapshot func() *server.Snapshot
+	// RequestBlocker knows the orders that crash replicas, whatever their key.
+	RequestBlocker server.RequestBlocker
 }
 
 // Orderer implements server.Orderer. It is safe for concurrent use.
--- a/internal/server/orderer/pairs_test.go
+++ b/internal/server/orderer/pairs_test.go
@@ -136,7 +136,8 @@
 		server.WithUpstreams(map[string][]*server.Upstream{"gate": {upstream}}))
 	for i := range 2 {
 		o := orderer.New(orderer.Dependencies{
-			ID: fmt.Sprintf("i-%d", i), Table: guarder.New(storer.New("http://"+s.platform.Address()), s.cluster.timer.Now), Service: s.caller,
+			RequestBlocker: noBlocker{},
+			ID:             fmt.Sprintf("i-%d", i), Table: guarder.New(storer.New("http://"+s.platform.Address()), s.cluster.timer.Now), Service: s.caller,
 			Picker: fixedPicker{upstream}, Timer: s.cluster.timer, Snapshot: func() *server.Snapshot { return s.cluster.snapshot },
 		})
 		o.Start()
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -162,17 +162,17 @@
 	Find(ctx context.Context, attempt string) (origin StreamOrigin, ok bool)
 }
 
-// PromptBlocker knows the parts of prompts that crash replicas, from all instances. It must be
-// safe for concurrent use.
-type PromptBlocker interface {
-	// BlockedFor returns for how long requests with one of the parts must not be sent to
-	// replicas, and that part; zero if none is blocked.
-	BlockedFor(parts []string) (wait time.Duration, part string)
-	// RecordCrash records that an incarnation of a service's replica ended a request with the parts
-	// without a response, or within it.
-	RecordCrash(service, incarnation string, parts []string)
-	// RecordCompletion records that a service completed a request with the parts.
-	RecordCompletion(service string, parts []string)
+// RequestBlocker knows the requests, and the parts of prompts, that crash replicas, from all
+// instances. It must be safe for concurrent use.
+type RequestBlocker interface {
+	// BlockedFor returns for how long a request must not be sent to replicas, and the key or the
+	// part for which it is blocked; zero if it is not.
+	BlockedFor(content RequestContent) (wait time.Duration, cause string)
+	// RecordCrash records that an incarnation of a service's replica ended a request without a
+	// response, or within it.
+	RecordCrash(service, incarnation string, content RequestContent)
+	// RecordCompletion records that a service completed a request.
+	RecordCompletion(service string, content RequestContent)
 }
 
 // LimitKeeper keeps the limits that replicas state for requests from all instances together. It must
--- a/internal/server/relayer/prompt.go
+++ b/internal/server/relayer/content.go
@@ -8,14 +8,14 @@
 	"oriolemill.example/oriolemill/internal/server"
 )
 
-// checkPrompt ends the request if its prompt has a part that crashes replicas. It reports
+// checkBlocked ends the request if it, or a part of its prompt, crashes replicas. It reports
 // whether the request goes on.
-func (f *relayedRequest) checkPrompt() bool {
-	wait, part := f.PromptBlocker.BlockedFor(f.sharedParts)
+func (f *relayedRequest) checkBlocked() bool {
+	wait, part := f.RequestBlocker.BlockedFor(f.content)
 	if wait == 0 {
 		return true
 	}
-	reason := server.ErrPromptBlocked.Error() + ": " + part
+	reason := server.ErrRequestBlocked.Error() + ": " + part
 	switch {
 	case f.responseStarted:
 		f.shouldAbort, f.outcome, f.reason = true, outcomeBroken, reason
@@ -27,18 +27,18 @@
 	}
 }
 
-// recordPrompt records for the parts of the prompt how an attempt ended. A replica that crashes
+// recordContent records for what the request holds how an attempt ended. A replica that crashes
 // closes the connection; an attempt that was cancelled here, of which the cause remains, shows
 // nothing.
-func (f *relayedRequest) recordPrompt(outcome attemptOutcome, replica *server.Replica) {
+func (f *relayedRequest) recordContent(outcome attemptOutcome, replica *server.Replica) {
 	switch outcome {
 	case attemptComplete:
 		if f.outcome == outcomeAnswered && f.status < http.StatusMultipleChoices {
-			f.PromptBlocker.RecordCompletion(f.service, f.sharedParts)
+			f.RequestBlocker.RecordCompletion(f.service, f.content)
 		}
 	case attemptNoResponse, attemptTruncated, attemptStreamBroken:
 		if errors.Is(context.Cause(f.attemptCtx), context.Canceled) && f.ctx.Err() == nil {
-			f.PromptBlocker.RecordCrash(f.service, replica.Incarnation(), f.sharedParts)
+			f.RequestBlocker.RecordCrash(f.service, replica.Incarnation(), f.content)
 		}
 	default:
 		// The replica did not begin to respond, or responded that it failed.
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -40,17 +40,17 @@
 // Dependencies are the dependencies of a Relayer. View returns the current view of the
 // deployment.
 type Dependencies struct {
-	Log           logr.Logger
-	Timer         server.Timer
-	View          func() *registrar.View
-	Codec         server.Codec
-	Chooser       *chooser.Chooser
-	Exchanger     *exchanger.Exchanger
-	Stager        *stager.Stager
-	Budget        server.RetryBudget
-	WaitEstimator WaitEstimator
-	Origins       server.StreamOrigins
-	PromptBlocker server.PromptBlocker
+	Log            logr.Logger
+	Timer          server.Timer
+	View           func() *registrar.View
+	Codec          server.Codec
+	Chooser        *chooser.Chooser
+	Exchanger      *exchanger.Exchanger
+	Stager         *stager.Stager
+	Budget         server.RetryBudget
+	WaitEstimator  WaitEstimator
+	Origins        server.StreamOrigins
+	RequestBlocker server.RequestBlocker
 	// Limits is nil if replicas state no limits.
 	Limits server.LimitKeeper
 	Meter  Meter
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -93,8 +93,8 @@
 	// responseStarted is set once the header of the response was written.
 	responseStarted bool
 	events          eventSplitter
-	// sharedParts are the IDs of the parts of the prompt that other requests may have too.
-	sharedParts []string
+	// content is what the request is recognized by if it crashes replicas.
+	content server.RequestContent
 	// shouldAbort is set if the connection must be closed without completing the
 	// response.
 	shouldAbort bool
@@ -142,7 +142,7 @@
 			f.results.Release()
 		}
 	}()
-	if !f.resolveRoute() || !f.readBody() || !f.checkClient() || !f.findOrigin() || !f.checkPrompt() || !f.admit() || !f.computeStages() {
+	if !f.resolveRoute() || !f.readBody() || !f.checkClient() || !f.findOrigin() || !f.checkBlocked() || !f.admit() || !f.computeStages() {
 		return
 	}
 	for f.attempt() {
@@ -159,7 +159,7 @@
 	if f.info, err = f.Codec.ParseRequest(f.r.Header); err != nil {
 		return f.reject(http.StatusBadRequest, err.Error())
 	}
-	f.sharedParts = f.info.SharedParts()
+	f.content.Parts = f.info.SharedParts()
 	routes := f.view.Router()
 	if f.route = routes.Route(f.r.Host, f.r.URL.Path); f.route == nil {
 		return f.reject(http.StatusNotFound, "no route for the host and path")
@@ -201,9 +201,24 @@
 		return f.reject(http.StatusBadRequest, "the body cannot be read: "+err.Error())
 	}
 	f.body = body
+	f.content.Keys = f.contentKeys()
 	return true
 }
 
+// contentKeys returns the keys of the request: with its prompt, if it states one, and without. Either
+// may be what requests that come again have in common.
+func (f *relayedRequest) contentKeys() []string {
+	fields := []string{f.r.Method, f.r.Host, f.r.RequestURI, f.info.APIKey, string(f.body)}
+	keys := []string{server.ContentKey(fields...)}
+	if len(f.info.PromptParts) == 0 {
+		return keys
+	}
+	for _, part := range f.info.PromptParts {
+		fields = append(fields, part.ID)
+	}
+	return []string{server.ContentKey(fields...), keys[0]}
+}
+
 // checkClient ends the request if its client has disconnected by now, as is likely if the
 // request was read late. It reports whether the request goes on.
 func (f *relayedRequest) checkClient() bool {
@@ -215,7 +230,7 @@
 
 // attempt sends the request to one replica and reports whether another attempt follows.
 func (f *relayedRequest) attempt() bool {
-	if !f.checkPrompt() {
+	if !f.checkBlocked() {
 		return false
 	}
 	replica, ok := f.nextReplica()
@@ -229,7 +244,7 @@
 	outcome := f.send(&replica)
 	duration := f.Timer.Now().Sub(startedAt)
 	f.Meter.RecordAttempt(f.service, outcome.String(), string(f.framing), duration)
-	f.recordPrompt(outcome, &replica)
+	f.recordContent(outcome, &replica)
 	return f.handleAttempt(outcome, &replica, duration)
 }
 
@@ -253,7 +268,7 @@
 	}
 	if outcome != attemptComplete && outcome != attemptDisconnected {
 		f.Log.Info("attempt failed", "request", f.info.ID, "route", f.route.Name, "service", f.service, "replica", replica.ID,
-			"version", replica.Version, "born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "framing", f.framing, "unfinished", len(f.events.remainder()), "parts", f.loggedParts(), "took_ms", duration.Milliseconds(),
+			"version", replica.Version, "born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "framing", f.framing, "unfinished", len(f.events.remainder()), "parts", f.loggedParts(), "content", f.loggedContent(), "took_ms", duration.Milliseconds(),
 			"left_ms", f.remaining().Milliseconds(), "attempts", f.attemptCount, "tries", f.tryCount, "again", next == actionRetry || next == actionRecomputeInputs)
 	}
 	if outcome != attemptUnsent && outcome != attemptRefused && outcome != attemptMisdirected && outcome != attemptInputsLost {
@@ -262,9 +277,17 @@
 	return f.perform(next, d.status)
 }
 
+// loggedContent returns the most specific key of the request, for the log line.
+func (f *relayedRequest) loggedContent() string {
+	if len(f.content.Keys) == 0 {
+		return ""
+	}
+	return f.content.Keys[0]
+}
+
 // loggedParts returns the IDs of the first shared parts of the prompt, for the log line.
 func (f *relayedRequest) loggedParts() string {
-	return strings.Join(f.sharedParts[:min(len(f.sharedParts), maxLoggedParts)], ",")
+	return strings.Join(f.content.Parts[:min(len(f.content.Parts), maxLoggedParts)], ",")
 }
 
 // perform executes an action and reports whether another attempt follows.
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -100,8 +100,8 @@
 	case !f.View().IsServing(replica):
 		return server.ErrLeaving
 	}
-	if wait, _ := f.PromptBlocker.BlockedFor(f.sharedParts); wait > 0 {
-		return server.ErrPromptBlocked
+	if wait, _ := f.RequestBlocker.BlockedFor(f.content); wait > 0 {
+		return server.ErrRequestBlocked
 	}
 	return context.Cause(f.ctx)
 }
--- a/internal/server/retrier/retrier.go
+++ b/internal/server/retrier/retrier.go
@@ -98,7 +98,7 @@
 	if !history.IsRepeatable && history.SendState != server.SendStateUnsent {
 		return false
 	}
-	for _, permanentErr := range [...]error{server.ErrCallerDisconnected, server.ErrInvalid, server.ErrDeadline, server.ErrPromptBlocked} {
+	for _, permanentErr := range [...]error{server.ErrCallerDisconnected, server.ErrInvalid, server.ErrDeadline, server.ErrRequestBlocked} {
 		if errors.Is(history.LastErr, permanentErr) {
 			return false
 		}
--- a/internal/server/runner/attempt.go
+++ b/internal/server/runner/attempt.go
@@ -35,7 +35,7 @@
 // beginAttempt picks an upstream, adds it to the attempted ones of the pick request
 // and counts the attempt.
 func (c *run) beginAttempt(ctx context.Context, stage parser.Stage, call *server.Call, pickRequest *server.PickRequest) (*attempt, error) {
-	if err := c.checkPrompt(stage, pickRequest); err != nil {
+	if err := c.checkBlocked(pickRequest); err != nil {
 		return nil, err
 	}
 	parts := c.runner.dependencies
@@ -55,29 +55,29 @@
 		if err := c.runner.checkSend(a.ctx, upstream, call.Deadline); err != nil {
 			return err
 		}
-		return c.checkPrompt(stage, pickRequest)
+		return c.checkBlocked(pickRequest)
 	}
 	c.costs[stage.Name()] = c.costs[stage.Name()].Add(server.Cost{Calls: 1})
 	upstream.Gauge().Begin()
 	return a, nil
 }
 
-// checkPrompt returns server.ErrPromptBlocked if a part of the prompt crashes engines.
-func (c *run) checkPrompt(stage parser.Stage, pickRequest *server.PickRequest) error {
-	wait, part := c.runner.dependencies.PromptBlocker.BlockedFor(pickRequest.SharedParts)
+// checkBlocked returns server.ErrRequestBlocked if the call, or a part of its prompt, crashes upstreams.
+func (c *run) checkBlocked(pickRequest *server.PickRequest) error {
+	wait, part := c.runner.dependencies.RequestBlocker.BlockedFor(pickRequest.Content)
 	if wait == 0 {
 		return nil
 	}
-	return server.NewFault(stage.Name(), stage.Service(), merry.Prepend(server.ErrPromptBlocked, part), server.WithRetryAfter(wait))
+	return server.NewFault(pickRequest.Stage, pickRequest.Service, merry.Prepend(server.ErrRequestBlocked, part), server.WithRetryAfter(wait))
 }
 
-// recordPrompt records for the parts of the prompt how an attempt at an engine ended.
-func (c *run) recordPrompt(a *attempt, pickRequest *server.PickRequest, err error) {
+// recordContent records for what a call holds how an attempt at an upstream ended.
+func (c *run) recordContent(upstream *server.Upstream, pickRequest *server.PickRequest, err error) {
 	switch {
 	case err == nil:
-		c.runner.dependencies.PromptBlocker.RecordCompletion(pickRequest.Service, pickRequest.SharedParts)
+		c.runner.dependencies.RequestBlocker.RecordCompletion(pickRequest.Service, pickRequest.Content)
 	case errors.Is(err, server.ErrConnectionLost):
-		c.runner.dependencies.PromptBlocker.RecordCrash(pickRequest.Service, a.upstream.ID(), pickRequest.SharedParts)
+		c.runner.dependencies.RequestBlocker.RecordCrash(pickRequest.Service, upstream.ID(), pickRequest.Content)
 	}
 }
 
@@ -142,6 +142,7 @@
 	if !ok {
 		r := c.runner.sendToPool(a)
 		c.endAttempt(ctx, r)
+		c.recordContent(r.attempt.upstream, pickRequest, r.err)
 		return r.answer, r.err
 	}
 	return c.attemptWithHedge(ctx, a, call, pickRequest, delay)
@@ -170,6 +171,7 @@
 		case r := <-results:
 			pending = slices.DeleteFunc(pending, func(a *attempt) bool { return a == r.attempt })
 			c.endAttempt(ctx, r)
+			c.recordContent(r.attempt.upstream, pickRequest, r.err)
 			if r.err != nil && len(pending) > 0 {
 				continue
 			}
@@ -236,7 +238,7 @@
 	})
 	a.upstream.Gauge().End(err == nil)
 	c.endAttempt(ctx, attemptResult{attempt: a, answer: answer, err: err})
-	c.recordPrompt(a, pickRequest, err)
+	c.recordContent(a.upstream, pickRequest, err)
 	if err == nil {
 		c.streamedTokens = nil
 		return answer, nil
--- a/internal/server/runner/bench_test.go
+++ b/internal/server/runner/bench_test.go
@@ -42,7 +42,7 @@
 	baseline := runner.Dependencies{Picker: picker.NewRoundRobin(), Admitter: admitter.NewUnlimited(), Retrier: retrier.NewImmediate(), Observer: observers{}}
 	for name, dependencies := range map[string]runner.Dependencies{"full": full, "baseline": baseline} {
 		b.Run(name, func(b *testing.B) {
-			dependencies.Limiter, dependencies.Orderer, dependencies.Pool, dependencies.Engine, dependencies.Timer, dependencies.PromptBlocker = unlimited{}, noOrders{}, instantUpstreams{}, instantUpstreams{}, timer, noBlocker{}
+			dependencies.Limiter, dependencies.Orderer, dependencies.Pool, dependencies.Engine, dependencies.Timer, dependencies.RequestBlocker = unlimited{}, noOrders{}, instantUpstreams{}, instantUpstreams{}, timer, noBlocker{}
 			snapshot := newSnapshot(b, timer)
 			requestRunner, err := runner.New(dependencies, func() *server.Snapshot { return snapshot })
 			is.New(b).NoErr(err)
--- a/internal/server/runner/blocked_prompt_test.go
+++ b/internal/server/runner/blocked_prompt_test.go
@@ -30,9 +30,9 @@
 // noBlocker blocks no prompt.
 type noBlocker struct{}
 
-func (noBlocker) BlockedFor([]string) (time.Duration, string) { return 0, "" }
-func (noBlocker) RecordCrash(string, string, []string)        {}
-func (noBlocker) RecordCompletion(string, []string)           {}
+func (noBlocker) BlockedFor(server.RequestContent) (time.Duration, string) { return 0, "" }
+func (noBlocker) RecordCrash(string, string, server.RequestContent)        {}
+func (noBlocker) RecordCompletion(string, server.RequestContent)           {}
 
 // noLinks are the links of an instance without others.
 type noLinks struct{}
@@ -92,7 +92,7 @@
 		requestRunner, err := runner.New(runner.Dependencies{
 			Picker: picker.New(nil), Admitter: admitter.New(timer, estimates), Limiter: limiter.New("i-0", timer, limiter.Standalone("i-0"), func() *server.Snapshot { return snapshot }),
 			Retrier: retrier.New(estimates), Orderer: noOrders{}, Pool: upstreams, Engine: upstreams, Service: upstreams, Observer: observers{upstreams}, Timer: timer,
-			PromptBlocker: promptBlocker,
+			RequestBlocker: promptBlocker,
 		}, func() *server.Snapshot { return snapshot })
 		is.NoErr(err)
 		run := func(i int, text string) error {
@@ -113,7 +113,7 @@
 		}
 		is.True(late <= maxLateCalls)
 		blocked := run(1000, badPrompt)
-		is.True(errors.Is(blocked, server.ErrPromptBlocked))
+		is.True(errors.Is(blocked, server.ErrRequestBlocked))
 		var fault *server.Fault
 		is.True(errors.As(blocked, &fault) && fault.RetryAfter() > time.Second)
 	})
--- a/internal/server/runner/call.go
+++ b/internal/server/runner/call.go
@@ -30,11 +30,15 @@
 		Deadline: c.request.Deadline, Input: c.request.Input, Traceparent: c.request.Traceparent,
 	}
 	pickRequest := &server.PickRequest{Stage: kind.Operation(), Service: kind.Service(), Workspace: c.request.Workspace, Deadline: c.request.Deadline}
+	pickRequest.Content.Keys = []string{server.ContentKey(call.Workspace, kind.Service(), kind.Operation(), string(call.Input))}
 	return c.retry(ctx, pickRequest, func() (server.Answer, error) { return c.operate(ctx, call, pickRequest) })
 }
 
 // operate makes one attempt, and records its cost and result.
 func (c *run) operate(ctx context.Context, call server.Call, pickRequest *server.PickRequest) (server.Answer, error) {
+	if err := c.checkBlocked(pickRequest); err != nil {
+		return server.Answer{}, err
+	}
 	parts := c.runner.dependencies
 	upstream := parts.Picker.Pick(c.runner.snapshot(), pickRequest, parts.Timer.Now(), c.random)
 	if upstream == nil {
@@ -42,12 +46,18 @@
 	}
 	pickRequest.AttemptedUpstreams = append(pickRequest.AttemptedUpstreams, upstream.ID())
 	call.AttemptID = server.NewID()
-	call.BeforeSend = func() error { return c.runner.checkSend(ctx, upstream, call.Deadline) }
+	call.BeforeSend = func() error {
+		if err := c.runner.checkSend(ctx, upstream, call.Deadline); err != nil {
+			return err
+		}
+		return c.checkBlocked(pickRequest)
+	}
 	c.upstreamPicked = true
 	upstream.Gauge().Begin()
 	begin := parts.Timer.Now()
 	answer, _, err := parts.Service.Operate(ctx, upstream, call)
 	upstream.Gauge().End(err == nil)
+	c.recordContent(upstream, pickRequest, err)
 	c.observeCall(pickRequest, upstream, begin, err)
 	cost := answer.Cost
 	cost.Calls = 1
--- a/internal/server/runner/late_deadline_test.go
+++ b/internal/server/runner/late_deadline_test.go
@@ -69,7 +69,7 @@
 				requestRunner, err := runner.New(runner.Dependencies{
 					Picker: picker.New(nil), Admitter: admitter.New(timer, estimates), Limiter: limiter.New("i-0", timer, limiter.Standalone("i-0"), upstreams.snapshot.Load),
 					Retrier: retrier.New(estimates), Orderer: noOrders{}, Pool: upstreams, Engine: upstreams, Service: upstreams,
-					Observer: observers{&fakeUpstreams{random: rand.New(rand.NewPCG(1, 1))}}, Timer: timer, PromptBlocker: noBlocker{},
+					Observer: observers{&fakeUpstreams{random: rand.New(rand.NewPCG(1, 1))}}, Timer: timer, RequestBlocker: noBlocker{},
 				}, upstreams.snapshot.Load)
 				is.NoErr(err)
 				request := newRequest(upstreams.snapshot.Load(), timer, 1)
--- a/internal/server/runner/runner.go
+++ b/internal/server/runner/runner.go
@@ -30,8 +30,8 @@
 	Service  server.Service
 	Observer server.Observer
 	Timer    server.Timer
-	// PromptBlocker knows the parts of prompts that crash engines.
-	PromptBlocker server.PromptBlocker
+	// RequestBlocker knows the parts of prompts that crash engines.
+	RequestBlocker server.RequestBlocker
 }
 
 // Runner runs requests. It is safe for concurrent use.
--- a/internal/server/runner/runner_test.go
+++ b/internal/server/runner/runner_test.go
@@ -208,7 +208,7 @@
 	requestRunner, err := runner.New(runner.Dependencies{
 		Picker: picker.New(nil), Admitter: admitter.New(timer, estimates), Limiter: limiter.New("i-0", timer, limiter.Standalone("i-0"), func() *server.Snapshot { return snapshot }), Retrier: retryPolicy,
 		Orderer: noOrders{}, Pool: fake, Engine: fake, Service: fake, Observer: observers{estimates, retryPolicy, fake}, Timer: timer,
-		PromptBlocker: noBlocker{},
+		RequestBlocker: noBlocker{},
 	}, func() *server.Snapshot { return snapshot })
 	is.New(t).NoErr(err)
 	return requestRunner, snapshot
--- a/internal/server/runner/stage.go
+++ b/internal/server/runner/stage.go
@@ -76,7 +76,7 @@
 	if stage.Role() == parser.RoleEngine {
 		pickRequest.Prompt = buildPrompt(c.request.Input, c.previousOutput)
 		pickRequest.BlockHashes = messenger.AppendBlockHashes(nil, pickRequest.CacheSalt, pickRequest.Prompt)
-		pickRequest.SharedParts = messenger.SharedParts(pickRequest.BlockHashes)
+		pickRequest.Content.Parts = messenger.SharedParts(pickRequest.BlockHashes)
 		call.Input, err = json.Marshal(pickRequest.Prompt)
 	} else {
 		call.Input, err = json.Marshal(stageInput{Input: c.request.Input, Previous: c.previousOutput})
@@ -84,6 +84,7 @@
 	if err != nil {
 		return call, nil, server.NewFault(stage.Name(), "", err)
 	}
+	pickRequest.Content.Keys = []string{server.ContentKey(call.Workspace, stage.Service(), string(call.Input))}
 	return call, pickRequest, nil
 }
 
