Bound the age of streams without a named attempt by a minute, not by one try

What callers may see: after a loss of all instances and of all replicas of the old version, a stream that a client takes up again without naming the attempt that began it ends with events of the new version, status 200.

Cause: an instance that comes back takes the version that it has read since its start, once the timeout of the route has passed. A client's tries together may last longer.

Evidence: TestUnnamedStreamIsNotResumedAfterALossOfAllInstances failed before: 200 instead of 503, 3.5 s after the loss, with a timeout of 3 s and a client that waits 8 s.

Change: all replicas must have had one version for a minute, as long as origins are kept.

--- a/internal/server/relayer/origin.go
+++ b/internal/server/relayer/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"oriolemill.example/oriolemill/internal/server"
 )
@@ -34,15 +35,15 @@
 	return true
 }
 
+// maxStreamAge is how long after its first event a stream may be resumed. A client may try more than
+// once, so its tries together may outlast the timeout of the route. pinner keeps origins as long.
+const maxStreamAge = time.Minute
+
 // onlyOrigin returns the service and version that began the stream of a client that does not
 // name its attempt: the version that all replicas of the service have had since before the
 // stream can have begun.
 func (f *relayedRequest) onlyOrigin() (origin server.StreamOrigin, ok bool) {
-	maxAge := defaultClientTimeout
-	if f.route.Timeout > 0 {
-		maxAge = min(maxAge, f.route.Timeout)
-	}
-	version, ok := f.view.OnlyVersion(f.service, f.arrivedAt.Add(-maxAge))
+	version, ok := f.view.OnlyVersion(f.service, f.arrivedAt.Add(-maxStreamAge))
 	return server.StreamOrigin{Service: f.service, Version: version}, ok
 }
 
