Spread the first fetches of a large change over the instances that announced it

Callers see a new plan late where links are slow: instances that fetch a large table at the same time chose one of its announcers at random, and at times six or more chose the same one, whose link then carried the table as often.

Change: each instance begins with the announcer at its own position, by ID. Retries still go to a random one.

--- a/internal/server/gossiper/gossiper.go
+++ b/internal/server/gossiper/gossiper.go
@@ -75,6 +75,8 @@
 	// LeaderIDs returns the IDs of the instances that watch the store on behalf of all
 	// instances. It returns none if every instance watches the store itself.
 	LeaderIDs() []string
+	// Position returns the position of this instance among all that respond, by ID.
+	Position() (index, count int)
 	// Broadcast sends a frame to all linked instances.
 	Broadcast(frame *encoder.Frame)
 	// Call sends a frame to an instance and returns the response.
@@ -276,8 +278,8 @@
 // catchUp fetches a table from its announcers, one after the other, until the newest
 // announced version is known here.
 func (g *Gossiper) catchUp(name string, t *topic) {
-	for {
-		announcer := g.pickAnnouncer(name, t)
+	for isRetry := false; ; isRetry = true {
+		announcer := g.pickAnnouncer(name, t, isRetry)
 		if announcer == "" {
 			return
 		}
@@ -292,17 +294,23 @@
 	}
 }
 
-// pickAnnouncer returns the ID of a random instance that announced a newer version of
-// a table. If there is nothing to fetch or no one to fetch it from, it ends the
-// topic's fetching and returns "".
-func (g *Gossiper) pickAnnouncer(name string, t *topic) string {
+// pickAnnouncer returns the ID of an instance that announced a newer version of a table. If there
+// is nothing to fetch or no one to fetch it from, it ends the topic's fetching and returns "".
+//
+// Instances fetch at the same time, so each begins with the announcer at its own position, and
+// none has to serve many of them. Retries go to a random one.
+func (g *Gossiper) pickAnnouncer(name string, t *topic, isRetry bool) string {
+	position, _ := g.links.Position()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.ctx.Err() != nil || g.tables.Version(name) >= t.receivedVersion || len(t.announcers) == 0 {
 		t.isFetching = false
 		return ""
 	}
-	return t.announcers[rand.IntN(len(t.announcers))]
+	if isRetry {
+		return t.announcers[rand.IntN(len(t.announcers))]
+	}
+	return slices.Sorted(slices.Values(t.announcers))[position%len(t.announcers)]
 }
 
 // fetchTable applies the changes of a table that another instance knows, or replaces it by
--- a/internal/server/gossiper/gossiper_test.go
+++ b/internal/server/gossiper/gossiper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -120,6 +121,10 @@
 
 func (m *member) Self() server.Instance { return server.Instance{ID: m.id} }
 
+func (m *member) Position() (index, count int) {
+	return slices.Index(m.fleet.members, m), len(m.fleet.members)
+}
+
 func (m *member) LeaderIDs() []string { return m.fleet.leaders }
 
 func (m *member) isCut() bool {
