Keep the origins of streams in the store while several versions serve

What callers see: after a loss of all instances no stream that they take up again goes on, although replicas of its version serve.

Cause: which version began a stream was known to four instances, which were lost together. And a resumed stream counted as late for the time that its client had waited before, though it had its first event, so admission refused it.

Resumed streams are due within the goal of their route from their arrival.

--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,7 +125,10 @@
 	i.owner = batcher.NewOwner(log, timer, upstreamExchanger, budget)
 	i.submitter = batcher.NewSubmitter(log, timer, i.linker, i.owner)
 	i.chooser = chooser.New(timer)
-	i.pinner = pinner.New(timer, i.linker)
+	i.pinner = pinner.New(timer, i.linker, pinner.WithArchive(log, adapter.Store, pinner.ArchiveRow(i.self.ID, strconv.FormatInt(i.self.StartMillis, 10)),
+		func(service string) bool {
+			return i.registrar.View().HasMixedVersions(service, timer.Now().Add(-pinner.Retention))
+		}))
 	i.blocker = blocker.New(log, timer, i.linker)
 	i.relayer = relayer.New(relayer.Dependencies{
 		Log: log, Timer: timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
--- a/internal/server/composer/counters.go
+++ b/internal/server/composer/counters.go
@@ -33,6 +33,9 @@
 	add(prometheus.CounterOpts{
 		Name: "oriolemill_resumed_unknown_total", Help: "Streams to resume whose version no instance knew.",
 	}, func() uint64 { _, unknown := i.pinner.Counts(); return unknown })
+	add(prometheus.CounterOpts{
+		Name: "oriolemill_stream_archive_writes_total", Help: "Times origins of streams were written to the store.",
+	}, i.pinner.ArchiveWrites)
 	for _, collector := range append(i.blocker.Collectors(), i.throttler.Collectors()...) {
 		i.meter.Register(collector)
 	}
--- a/internal/server/pinner/pinner.go
+++ b/internal/server/pinner/pinner.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// retention is how long an origin is kept at least. Streams and their clients' tries end
+	// Retention is how long an origin is kept at least. Streams and their clients' tries end
 	// before.
-	retention = time.Minute
+	Retention = time.Minute
 	// maxOrigins bounds the origins that arrive in one retention time; beyond it the oldest
 	// are dropped sooner.
 	maxOrigins = 1 << 16
@@ -58,6 +58,9 @@
 	// stopRotation stops the timer that calls rotate.
 	stopRotation   func()
 	found, unknown atomic.Uint64
+	timer          server.Timer
+	// archive is nil if origins are not kept in the store.
+	archive *archive
 	// mu guards newer and older, the origins by attempt. Those of older are dropped when
 	// newer takes their place.
 	mu           sync.Mutex
@@ -68,10 +71,13 @@
 var conflicting = server.StreamOrigin{}
 
 // New returns a Pinner. Close must be called once.
-func New(timer server.Timer, links Links) *Pinner {
-	p := &Pinner{links: links, searches: rate.NewLimiter(maxSearches, searchBurst), newer: make(map[string]server.StreamOrigin)}
+func New(timer server.Timer, links Links, options ...Option) *Pinner {
+	p := &Pinner{timer: timer, links: links, searches: rate.NewLimiter(maxSearches, searchBurst), newer: make(map[string]server.StreamOrigin)}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.stopRotation = timer.Every(retention, func(time.Time) {
+	for _, option := range options {
+		option(p)
+	}
+	p.stopRotation = timer.Every(Retention, func(time.Time) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.rotate()
@@ -99,12 +105,23 @@
 	return true
 }
 
+// ArchiveWrites returns how often origins were written to the store.
+func (p *Pinner) ArchiveWrites() uint64 {
+	if p.archive == nil {
+		return 0
+	}
+	return p.archive.writes.Load()
+}
+
 // Counts returns how many origins were found and how many were not.
 func (p *Pinner) Counts() (found, unknown uint64) { return p.found.Load(), p.unknown.Load() }
 
 // Record implements server.StreamOrigins. It does not wait for the replication.
 func (p *Pinner) Record(attempt string, origin server.StreamOrigin) {
 	p.store(attempt, origin)
+	if p.archive != nil && p.archive.record(attempt, origin) {
+		p.timer.After(p.archiveInterval(), func(time.Time) { p.start(func() { p.archive.save(p.ctx) }) })
+	}
 	for _, id := range p.links.HolderIDs(attempt, copies) {
 		p.start(func() {
 			// Sending changes a frame, so each message has its own.
@@ -118,6 +135,12 @@
 	}
 }
 
+// archiveInterval returns the time between two writes of the archive.
+func (p *Pinner) archiveInterval() time.Duration {
+	instances := len(p.links.HolderIDs(archiveTable, maxOrigins)) + 1
+	return max(minArchiveInterval, time.Second*time.Duration(instances)/maxArchiveWrites)
+}
+
 // HandleOrigin stores an origin that another instance replicates.
 func (p *Pinner) HandleOrigin(message *encoder.StreamOrigin) {
 	p.store(message.GetAttempt(), server.StreamOrigin{Service: message.GetService(), Version: message.GetVersion()})
@@ -138,7 +161,7 @@
 }
 
 // Find implements server.StreamOrigins. It queries the holders of the record, and then all
-// other instances.
+// other instances. If none knows it, as after a loss of all, it is read from the store.
 func (p *Pinner) Find(ctx context.Context, attempt string) (server.StreamOrigin, bool) {
 	origin, ok := p.load(attempt)
 	if !ok {
@@ -150,6 +173,10 @@
 			origin, ok = p.ask(ctx, others, attempt)
 		}
 	}
+	if !ok && p.archive != nil {
+		p.archive.load(ctx, p.store)
+		origin, ok = p.load(attempt)
+	}
 	if !ok || origin == conflicting {
 		p.unknown.Add(1)
 		return server.StreamOrigin{}, false
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -397,7 +397,9 @@
 		v.instances = append(v.instances, instance)
 	}
 	v.sort()
-	v.onlyVersions = nextVersionPeriods(r.view.Load().onlyVersions, r.replicas, v.createdAt)
+	previous := r.view.Load()
+	v.onlyVersions = nextVersionPeriods(previous.onlyVersions, r.replicas, v.createdAt)
+	v.mixedAt = nextMixedTimes(previous.mixedAt, v.onlyVersions, r.replicas, v.createdAt)
 	r.view.Store(v)
 	return v
 }
--- a/internal/server/registrar/view.go
+++ b/internal/server/registrar/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,8 @@
 	instances []server.Instance
 	// onlyVersions holds the services whose replicas all have one software version.
 	onlyVersions map[string]versionPeriod
+	// mixedAt holds, by service, when its replicas were last seen with several versions.
+	mixedAt map[string]time.Time
 	// versions holds the version that each table is known up to.
 	versions  map[string]uint64
 	createdAt time.Time
@@ -80,6 +83,33 @@
 	return next
 }
 
+// HasMixedVersions reports whether the replicas of a service have had several software versions since
+// a time, as far as this instance has read.
+func (v *View) HasMixedVersions(service string, since time.Time) bool {
+	mixedAt, ok := v.mixedAt[service]
+	return ok && (v.isMixed(service) || mixedAt.After(since))
+}
+
+// isMixed reports whether the replicas of a service have several software versions now.
+func (v *View) isMixed(service string) bool {
+	_, isSingle := v.onlyVersions[service]
+	return !isSingle && v.mixedAt[service].Equal(v.createdAt)
+}
+
+// nextMixedTimes returns when the services' replicas were last seen with several versions.
+func nextMixedTimes(previous map[string]time.Time, onlyVersions map[string]versionPeriod, replicas map[string]server.Replica, now time.Time) map[string]time.Time {
+	next := maps.Clone(previous)
+	if next == nil {
+		next = make(map[string]time.Time)
+	}
+	for _, replica := range replicas {
+		if _, isSingle := onlyVersions[replica.Service]; !isSingle {
+			next[replica.Service] = now
+		}
+	}
+	return next
+}
+
 // ReplicaAt returns the replica of a service at an address if it may get new work.
 func (v *View) ReplicaAt(service, address string) (server.Replica, bool) {
 	for _, r := range v.services[service] {
--- a/internal/server/relayer/client_timeouts.go
+++ b/internal/server/relayer/client_timeouts.go
@@ -40,6 +40,16 @@
 	return max(time.Duration(firstAttemptShare*float64(longest))-timeout, 0)
 }
 
+// timeToGoal returns the time from the arrival of a request until its response is due, for a client
+// that has waited in earlier attempts. One that resumes a stream has had the first event; the rest is
+// due as after a break within a response.
+func timeToGoal(goal, waited time.Duration, isResumed bool) time.Duration {
+	if isResumed {
+		return goal
+	}
+	return goal - waited
+}
+
 // firstEventTimeout returns how long clients of a route wait for a stream's first event.
 func firstEventTimeout(route *server.Route) time.Duration {
 	return max(minFirstEventTimeout, firstEventGoals*route.Goal, firstEventGaps*route.EventGap)
--- a/internal/server/relayer/client_timeouts_test.go
+++ b/internal/server/relayer/client_timeouts_test.go
@@ -27,3 +27,11 @@
 	is.Equal(firstEventTimeout(&server.Route{Goal: 1700 * time.Millisecond, EventGap: 400 * time.Millisecond}), 6800*time.Millisecond)
 	is.Equal(firstEventTimeout(&server.Route{Goal: 300 * time.Millisecond, EventGap: 400 * time.Millisecond}), 3200*time.Millisecond)
 }
+
+// TestResumedStreamIsDueAnew guards against refusals of streams that clients take up again, since the
+// time before their first event, and of the part that they have, counted against the rest.
+func TestResumedStreamIsDueAnew(t *testing.T) {
+	is := is.New(t)
+	is.Equal(timeToGoal(time.Second, 5*time.Second, true), time.Second)
+	is.Equal(timeToGoal(time.Second, 5*time.Second, false), -4*time.Second)
+}
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -170,7 +170,7 @@
 	}
 	f.priority, f.rank = router.Priority(f.route, f.workspace), router.Rank(f.route, f.workspace)
 	f.service = router.Service(f.route, f.info.ID)
-	f.softDeadline = f.arrivedAt.Add(f.route.Goal - f.clientTimeouts.waitedBefore(f.route.Name, f.info.ClientTimeout))
+	f.softDeadline = f.arrivedAt.Add(timeToGoal(f.route.Goal, f.clientTimeouts.waitedBefore(f.route.Name, f.info.ClientTimeout), f.info.LastEventID != ""))
 	timeout := defaultClientTimeout
 	for _, limit := range [...]time.Duration{f.info.ClientTimeout, f.route.Timeout} {
 		if limit > 0 {
