Keep blocked requests and parts in the store

What callers see: after a loss of all instances a request that had crashed three replicas crashes as many again, and other requests of the service are refused meanwhile.

Cause: the blocks were in the memory of the instances only, which were lost together.

Change: a block is a row of the store, deleted when a request with it is completed. An instance reads the rows when a replica first crashes under one of its requests, and passes them on to all others.

Result: TestBlocksSurviveALossOfAllInstances, 1 to 85 instances: after the loss one crash suffices on all of them, with one read; without the rows nothing was known after it.

--- a/internal/server/blocker/blocker.go
+++ b/internal/server/blocker/blocker.go
@@ -66,6 +66,9 @@
 	// blockCount is the number of entries of blocks, so that requests need no lock while
 	// nothing is blocked.
 	blockCount atomic.Int64
+	// store is nil if blocks are not kept in one; isRestored is set once they were read from it.
+	store      server.Store
+	isRestored atomic.Bool
 	// mu guards the fields below.
 	mu       sync.Mutex
 	evidence *evidence
@@ -185,6 +188,7 @@
 	b.crashCount.Add(1)
 	parts := partKeys(content.Parts)
 	b.addCrash(service, incarnation, content.Keys, parts, b.timer.Now())
+	b.restoreOnce()
 	for _, id := range b.links.HolderIDs(holderName, holderCount) {
 		b.send(id, &encoder.PromptParts{Service: service, Incarnation: incarnation, CrashedParts: parts, CrashedRequests: content.Keys})
 	}
@@ -299,6 +303,7 @@
 		return false
 	}
 	delete(b.blocks, part)
+	b.unarchive(part)
 	b.blockCount.Store(int64(len(b.blocks)))
 	b.log.Info(describe(part)+" not blocked any more: a request with it was completed", "part", part)
 	return true
@@ -324,6 +329,7 @@
 	}
 	b.blockCount.Store(int64(len(b.blocks)))
 	b.log.Info(describe(c.part)+" blocked: replicas crashed under requests with it", "part", c.part, "for_ms", added.until.Sub(now).Milliseconds(), "times", added.times)
+	b.archive(c.part, added, now)
 	message := &encoder.PromptParts{Blocks: []*encoder.PartBlock{encodeBlock(c.part, added, now)}}
 	for _, id := range b.otherIDs() {
 		b.messages.Go(func() { b.deliver(id, message) })
--- a/internal/server/blocker/blocker_test.go
+++ b/internal/server/blocker/blocker_test.go
@@ -39,6 +39,47 @@
 	// lossShare is the part of the messages that is lost.
 	lossShare float64
 	members   []*member
+	store     *fakeStore
+}
+
+// fakeStore holds the rows of one table.
+type fakeStore struct {
+	mu     sync.Mutex
+	rows   map[string][]byte
+	loads  int
+	isAway bool
+}
+
+func (s *fakeStore) Load(context.Context, string) ([]server.StoredRow, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads++
+	if s.isAway {
+		return nil, 0, server.ErrUnavailable
+	}
+	var rows []server.StoredRow
+	for name, value := range s.rows {
+		rows = append(rows, server.StoredRow{Name: name, Value: value})
+	}
+	return rows, 1, nil
+}
+
+func (s *fakeStore) Watch(context.Context, string, uint64, time.Duration) ([]server.StoredRow, uint64, error) {
+	return nil, 0, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, _, name string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows[name] = value
+	return nil
+}
+
+func (s *fakeStore) Delete(_ context.Context, _, name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.rows, name)
+	return nil
 }
 
 // member is one instance of a fleet. It implements blocker.Links.
@@ -50,7 +91,7 @@
 }
 
 func newFleet(count int, seed uint64) *fleet {
-	f := &fleet{timer: ticker.New(), random: rand.New(rand.NewPCG(seed, 1))}
+	f := &fleet{timer: ticker.New(), random: rand.New(rand.NewPCG(seed, 1)), store: &fakeStore{rows: make(map[string][]byte)}}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := range count {
@@ -61,7 +102,7 @@
 
 func (f *fleet) newMember(id string) *member {
 	m := &member{fleet: f, id: id}
-	m.Blocker = blocker.New(logr.Discard(), f.timer, m)
+	m.Blocker = blocker.New(logr.Discard(), f.timer, m, blocker.WithArchive(f.store))
 	return m
 }
 
@@ -316,3 +357,57 @@
 	wait, _ := m.BlockedFor(content)
 	return wait == 0
 }
+
+// TestBlocksSurviveALossOfAllInstances guards against a request that crashes replicas anew after all
+// instances were lost, at each of them.
+func TestBlocksSurviveALossOfAllInstances(t *testing.T) {
+	for _, count := range []int{1, 3, 20, 85} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(count, 1)
+			defer f.stop()
+			bad := server.RequestContent{Keys: []string{server.ContentKey("bad")}}
+			crash := func(i int) {
+				if m := f.members[i%count]; isFree(m, bad) {
+					m.RecordCrash("orders", fmt.Sprint("r-", i), bad)
+				}
+				time.Sleep(600 * time.Millisecond)
+			}
+			for i := range 6 {
+				crash(i)
+			}
+			is.True(!isFree(f.members[0], bad))
+			for i := range f.members {
+				f.restart(i)
+			}
+			is.True(isFree(f.members[0], bad))
+			loads := f.store.loads
+			crash(100)
+			for _, m := range f.members {
+				is.True(!isFree(m, bad))
+			}
+			is.Equal(f.store.loads, loads+1) // one instance reads for all
+		})
+	}
+}
+
+// TestRefutedBlocksAreNotRestored guards against blocks that come back with a loss of all instances
+// although the request was completed since.
+func TestRefutedBlocksAreNotRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3, 1)
+		defer f.stop()
+		content := server.RequestContent{Keys: []string{server.ContentKey("a")}}
+		for i := range 3 {
+			f.members[i].RecordCrash("orders", fmt.Sprint("r-", i), content)
+			time.Sleep(700 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		is.Equal(len(f.store.rows), 1)
+		f.members[1].RecordCompletion("orders", content)
+		time.Sleep(time.Second)
+		is.Equal(len(f.store.rows), 0)
+		is.True(isFree(f.members[0], content))
+	})
+}
--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -129,7 +129,7 @@
 		func(service string) bool {
 			return i.registrar.View().HasMixedVersions(service, timer.Now().Add(-pinner.Retention))
 		}))
-	i.blocker = blocker.New(log, timer, i.linker)
+	i.blocker = blocker.New(log, timer, i.linker, blocker.WithArchive(adapter.Store))
 	i.relayer = relayer.New(relayer.Dependencies{
 		Log: log, Timer: timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
 		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, RequestBlocker: i.blocker, Limits: i.throttler, Meter: i.meter,
