Block a request only if nothing else explains all of its crashes

Callers saw a request refused that crashed nothing: it had run, and been retried, on three replicas that a part of other requests crashed.

Cause: three crashes under one request were enough, while the part that crashed the replicas was not found yet, since that takes four crashes under different requests.

Change: a request is not blocked while a part, or another request, may have caused all of its crashes; the next crash tells them apart. Its own keys and parts are no other cause.

--- a/internal/server/blocker/evidence.go
+++ b/internal/server/blocker/evidence.go
@@ -253,7 +253,7 @@
 	most := 0
 	for _, part := range queried {
 		counted := e.counted(part, now)
-		if !isSuspect(part, counted) || !e.isContrasted(part, counted) {
+		if !isSuspect(part, counted) || !e.isContrasted(part, counted) || isRequestKey(part) && e.hasOtherCause(part, counted, now) {
 			continue
 		}
 		score := 2 * len(counted)
@@ -270,6 +270,33 @@
 	return worst
 }
 
+// hasOtherCause reports whether something else may have caused all crashes under a request: a part, or
+// another request, under which the same incarnations crashed. A request that only ran beside the cause
+// has not more crashes than that one, so the next crash tells them apart.
+func (e *evidence) hasOtherCause(request string, crashes []crash, now time.Time) bool {
+	for other, list := range e.crashes {
+		if other == request || len(list) < len(crashes) || isOfOneRequest(request, other, list, crashes) {
+			continue
+		}
+		counted := e.counted(other, now)
+		explainsAll := !slices.ContainsFunc(crashes, func(c crash) bool {
+			return !slices.ContainsFunc(counted, func(o crash) bool { return o.incarnation == c.incarnation })
+		})
+		if explainsAll {
+			return true
+		}
+	}
+	return false
+}
+
+// isOfOneRequest reports whether a key is another key of a request, or a part that only this request
+// has crashed replicas with.
+func isOfOneRequest(request, other string, ofOther, ofRequest []crash) bool {
+	isOfRequest := !slices.ContainsFunc(ofOther, func(c crash) bool { return !slices.Contains(c.requests, request) })
+	isOfOther := !slices.ContainsFunc(ofRequest, func(c crash) bool { return !slices.Contains(c.requests, other) })
+	return isOfRequest || isOfOther
+}
+
 // explain counts the crashes under a part that is blocked against no other part; see explainedBy
 // for a request.
 func (e *evidence) explain(part string) {
--- a/internal/server/blocker/request_test.go
+++ b/internal/server/blocker/request_test.go
@@ -78,3 +78,34 @@
 	}
 	is.Equal(len(convicted(e, at(3))), 0)
 }
+
+// TestRequestBesideACrashingPartIsNotConvicted guards against the block of a request that was retried on
+// replicas which a part of other requests crashed, before that part is found.
+func TestRequestBesideACrashingPartIsNotConvicted(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	for i := range 5 {
+		replica := fmt.Sprint("r", i)
+		if i < 3 {
+			e.addCrash(testService, replica, []string{key("beside")}, []string{"a"}, at(float64(i)))
+		}
+		e.addCrash(testService, replica, []string{key(fmt.Sprint("other", i))}, []string{"bad"}, at(float64(i)))
+		complete(e, at(float64(i)+0.5))
+		if i == 2 {
+			is.Equal(len(convicted(e, at(2.6))), 0)
+		}
+	}
+	is.Equal(convicted(e, at(6)), []string{"bad"})
+}
+
+// TestRequestWithTwoKeysIsConvicted guards against keys of one request, and its own parts, counting as
+// other causes of its crashes.
+func TestRequestWithTwoKeysIsConvicted(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	for i := range minRequestCrashes {
+		e.addCrash(testService, fmt.Sprint("r", i), []string{key("narrow"), key("wide")}, []string{"session"}, at(float64(i)))
+		complete(e, at(float64(i)+0.5))
+	}
+	is.Equal(len(convicted(e, at(4))), 2)
+}
