Split files that grew, and hash prompt parts that look like keys of requests

The functions on a request's content, on keys of blocks and on the store's availability have files of their own; they are moved unchanged. A client's prompt part that begins like the key of a request is hashed, so that it needs as many crashes to be blocked as any other part (TestPartsAreNoKeysOfRequests); found by reading.

--- a/internal/server/blocker/blocker.go
+++ b/internal/server/blocker/blocker.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -16,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"oriolemill.example/oriolemill/internal/server"
@@ -128,27 +126,6 @@
 	}
 }
 
-// partKeys returns the names of parts in the tables, of which each has a bounded length.
-func partKeys(parts []string) []string {
-	keys := make([]string, min(len(parts), maxParts))
-	for i := range keys {
-		if keys[i] = parts[i]; len(parts[i]) > maxPartBytes {
-			keys[i] = fmt.Sprintf("hash:%016x", xxhash.Sum64String(parts[i]))
-		}
-	}
-	return keys
-}
-
-// requestKeys returns those of the keys in a message that requests may have.
-func requestKeys(keys []string) []string {
-	return slices.DeleteFunc(keys[:min(len(keys), maxRequestKeys)], func(key string) bool { return !isRequestKey(key) || len(key) > maxPartBytes })
-}
-
-// allKeys returns the names in the tables of a request's parts, and its own keys.
-func allKeys(content server.RequestContent) []string {
-	return append(partKeys(content.Parts), content.Keys...)
-}
-
 // BlockedFor implements server.RequestBlocker.
 func (b *Blocker) BlockedFor(content server.RequestContent) (wait time.Duration, part string) {
 	if b.blockCount.Load() == 0 {
@@ -392,14 +369,6 @@
 	_ = b.links.Send(ctx, id, &encoder.Frame{Body: &encoder.Frame_PromptParts{PromptParts: message}})
 }
 
-// describe returns what a key stands for, in log lines.
-func describe(key string) string {
-	if isRequestKey(key) {
-		return "request"
-	}
-	return "part of prompts"
-}
-
 // encodeBlock returns the message with a block. Times are sent as the time left and ages, since
 // clocks differ.
 func encodeBlock(part string, current block, now time.Time) *encoder.PartBlock {
--- a/internal/server/blocker/evidence.go
+++ b/internal/server/blocker/evidence.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"oriolemill.example/oriolemill/internal/server"
 )
 
 const (
@@ -80,9 +78,6 @@
 // longer than any.
 func serviceKey(service string) string { return strings.Repeat("/", maxPartBytes) + service }
 
-// isRequestKey reports whether a key is that of a request.
-func isRequestKey(key string) bool { return strings.HasPrefix(key, server.ContentKeyPrefix) }
-
 // addCrash records that an incarnation crashed under a request with the keys and parts.
 func (e *evidence) addCrash(service, incarnation string, requests, parts []string, at time.Time) {
 	incarnation = e.nameIncarnation(incarnation, at)
--- a/internal/server/blocker/request_test.go
+++ b/internal/server/blocker/request_test.go
@@ -109,3 +109,12 @@
 	}
 	is.Equal(len(convicted(e, at(4))), 2)
 }
+
+// TestPartsAreNoKeysOfRequests guards against clients that state a prompt part which looks like the key
+// of a request: fewer crashes would suffice to block it.
+func TestPartsAreNoKeysOfRequests(t *testing.T) {
+	is := is.New(t)
+	for _, name := range partKeys([]string{key("forged"), "part"}) {
+		is.True(!isRequestKey(name))
+	}
+}
--- a/internal/server/content.go
+++ b/internal/server/content.go
@@ -19,8 +19,7 @@
 	Parts []string
 }
 
-// ContentKey returns the key of a request that consists of the fields. No ID of a prompt part
-// equals it.
+// ContentKey returns the key of a request that consists of the fields.
 func ContentKey(fields ...string) string {
 	digest := sha256.New()
 	var length [8]byte
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -156,65 +156,6 @@
 // FailureCount returns the number of calls of this instance to the store that failed.
 func (r *Registrar) FailureCount() uint64 { return r.failureCount.Load() }
 
-// OutageCount returns the number of outages of the store that this instance has noticed or that
-// other instances have announced to it.
-func (r *Registrar) OutageCount() uint64 { return r.outageCount.Load() }
-
-// StaleResponseCount returns the number of responses of the store whose version was lower
-// than the known one, so that they changed nothing.
-func (r *Registrar) StaleResponseCount() uint64 { return r.staleResponseCount.Load() }
-
-// LeavingCount returns the number of replicas that left by what their responses stated.
-func (r *Registrar) LeavingCount() uint64 { return r.leavingCount.Load() }
-
-// PendingRemovals returns the number of replicas that are kept for now though their row was
-// deleted.
-func (r *Registrar) PendingRemovals() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.pendingRemovals)
-}
-
-// recordResponse records that the store responded to a call for a table. It returns when the
-// store last responded to this instance, for any table, after failed calls.
-func (r *Registrar) recordResponse(table string, wasRestored bool) (recoveredAt time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.timer.Now()
-	r.lastResponse[table] = now
-	if outage, isNew := r.availability.recordResponse(now, wasRestored); isNew {
-		r.outageCount.Add(1)
-		r.log.Info("outage of the store has ended; watches begin anew", "table", table, "begin_ms", now.Sub(outage.Begin).Milliseconds())
-		go r.onOutageEnd(outage)
-	}
-	return r.availability.recoveredAt
-}
-
-// RecordOutage records an outage of the store that another instance has noticed.
-func (r *Registrar) RecordOutage(outage server.Outage) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.availability.recordOutage(outage) {
-		r.outageCount.Add(1)
-		r.log.Info("another instance has noticed an outage of the store; watches begin anew", "begin_ms", r.timer.Now().Sub(outage.Begin).Milliseconds(), "end_ms", r.timer.Now().Sub(outage.End).Milliseconds())
-	}
-}
-
-// recordFailure records a failed call that the store should have answered at dueAt.
-func (r *Registrar) recordFailure(dueAt time.Time) {
-	r.failureCount.Add(1)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.availability.recordFailure(dueAt)
-}
-
-// availabilityPeriod returns a context that ends when the store recovers from an outage.
-func (r *Registrar) availabilityPeriod() context.Context {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.availability.period
-}
-
 // ApplyChanges applies changes of a table, which is then known up to version. recoveredAt
 // is when the store responded again, after failed calls, to the instance that read the
 // changes from it; zero without failed calls.
--- a/internal/server/relayer/content.go
+++ b/internal/server/relayer/content.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 
 	"oriolemill.example/oriolemill/internal/server"
 )
@@ -44,3 +45,30 @@
 		// The replica did not begin to respond, or responded that it failed.
 	}
 }
+
+// contentKeys returns the keys of the request: with its prompt, if it states one, and without. Either
+// may be what requests that come again have in common.
+func (f *relayedRequest) contentKeys() []string {
+	fields := []string{f.r.Method, f.r.Host, f.r.RequestURI, f.info.APIKey, string(f.body)}
+	keys := []string{server.ContentKey(fields...)}
+	if len(f.info.PromptParts) == 0 {
+		return keys
+	}
+	for _, part := range f.info.PromptParts {
+		fields = append(fields, part.ID)
+	}
+	return []string{server.ContentKey(fields...), keys[0]}
+}
+
+// loggedContent returns the most specific key of the request, for the log line.
+func (f *relayedRequest) loggedContent() string {
+	if len(f.content.Keys) == 0 {
+		return ""
+	}
+	return f.content.Keys[0]
+}
+
+// loggedParts returns the IDs of the first shared parts of the prompt, for the log line.
+func (f *relayedRequest) loggedParts() string {
+	return strings.Join(f.content.Parts[:min(len(f.content.Parts), maxLoggedParts)], ",")
+}
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"oriolemill.example/oriolemill/internal/server"
@@ -205,20 +204,6 @@
 	return true
 }
 
-// contentKeys returns the keys of the request: with its prompt, if it states one, and without. Either
-// may be what requests that come again have in common.
-func (f *relayedRequest) contentKeys() []string {
-	fields := []string{f.r.Method, f.r.Host, f.r.RequestURI, f.info.APIKey, string(f.body)}
-	keys := []string{server.ContentKey(fields...)}
-	if len(f.info.PromptParts) == 0 {
-		return keys
-	}
-	for _, part := range f.info.PromptParts {
-		fields = append(fields, part.ID)
-	}
-	return []string{server.ContentKey(fields...), keys[0]}
-}
-
 // checkClient ends the request if its client has disconnected by now, as is likely if the
 // request was read late. It reports whether the request goes on.
 func (f *relayedRequest) checkClient() bool {
@@ -277,19 +262,6 @@
 	return f.perform(next, d.status)
 }
 
-// loggedContent returns the most specific key of the request, for the log line.
-func (f *relayedRequest) loggedContent() string {
-	if len(f.content.Keys) == 0 {
-		return ""
-	}
-	return f.content.Keys[0]
-}
-
-// loggedParts returns the IDs of the first shared parts of the prompt, for the log line.
-func (f *relayedRequest) loggedParts() string {
-	return strings.Join(f.content.Parts[:min(len(f.content.Parts), maxLoggedParts)], ",")
-}
-
 // perform executes an action and reports whether another attempt follows.
 func (f *relayedRequest) perform(next action, status int) bool {
 	switch next {
