Read blocks in the store at the second crash, and take no start for an outage

Callers are not affected.

Change: the rows are read when two crashes count against a request or part, fewer than a block needs. A silence counts from the first response.

--- a/internal/server/blocker/archive.go
+++ b/internal/server/blocker/archive.go
@@ -14,14 +14,18 @@
 	// archiveTable is the table of the store with a row for each block, for the case that all
 	// instances are lost.
 	archiveTable = "blocks"
+	// minRestoreCrashes is the number of crashes that count against a request or part from which the
+	// blocks in the store are read: fewer than a block needs, and more than replicas that end for
+	// another reason cause.
+	minRestoreCrashes = 2
 	// storeTimeout bounds a call to the store.
 	storeTimeout = 2 * time.Second
 	// maxDeletions bounds the rows that are deleted after a read.
 	maxDeletions = 8
 )
 
-// WithArchive keeps blocks in a store. An instance reads them once, when a replica has crashed
-// under a request.
+// WithArchive keeps blocks in a store. An instance reads them once, when replicas have crashed
+// under a request more than once.
 func WithArchive(store server.Store) Option {
 	return func(b *Blocker) { b.store = store }
 }
@@ -58,12 +62,16 @@
 	})
 }
 
-// restoreOnce reads the blocks in the store, unless that was done before, and passes them on.
+// restoreOnce reads the blocks in the store, unless that was done before, and passes them on. The
+// caller holds mu.
 func (b *Blocker) restoreOnce() {
 	if b.store == nil || !b.isRestored.CompareAndSwap(false, true) {
 		return
 	}
-	b.start(func() {
+	if b.ctx.Err() != nil {
+		return
+	}
+	b.messages.Go(func() {
 		ctx, cancel := context.WithTimeout(b.ctx, storeTimeout)
 		defer cancel()
 		rows, _, err := b.store.Load(ctx, archiveTable)
--- a/internal/server/blocker/blocker.go
+++ b/internal/server/blocker/blocker.go
@@ -165,7 +165,6 @@
 	b.crashCount.Add(1)
 	parts := partKeys(content.Parts)
 	b.addCrash(service, incarnation, content.Keys, parts, b.timer.Now())
-	b.restoreOnce()
 	for _, id := range b.links.HolderIDs(holderName, holderCount) {
 		b.send(id, &encoder.PromptParts{Service: service, Incarnation: incarnation, CrashedParts: parts, CrashedRequests: content.Keys})
 	}
@@ -210,6 +209,9 @@
 		}
 	}
 	b.evidence.addCrash(service, incarnation, requests, parts, now)
+	if b.evidence.crashCount(slices.Concat(parts, requests), now) >= minRestoreCrashes {
+		b.restoreOnce()
+	}
 	for _, request := range requests {
 		if _, ok := b.blocks.isBlocked(request, now); ok {
 			// Sent before the request was blocked.
--- a/internal/server/blocker/evidence.go
+++ b/internal/server/blocker/evidence.go
@@ -161,6 +161,14 @@
 	return list
 }
 
+// crashCount returns the most crashes that count against one of the parts.
+func (e *evidence) crashCount(parts []string, now time.Time) (most int) {
+	for _, part := range parts {
+		most = max(most, len(e.counted(part, now)))
+	}
+	return most
+}
+
 // isSuspect reports whether the crashes that count against a part are enough. Those under a single
 // request say nothing about its parts.
 func isSuspect(part string, counted []crash) bool {
--- a/internal/server/registrar/availability.go
+++ b/internal/server/registrar/availability.go
@@ -43,10 +43,11 @@
 // is set: replicas then write the rows again that the store has lost, as after an outage. It
 // returns the outage that the response ends, if other instances have not announced it.
 func (a *availability) recordResponse(now time.Time, wasRestored bool) (ended server.Outage, isNew bool) {
+	hasResponded := !a.respondedAt.IsZero()
 	silence, begin := now.Sub(a.respondedAt), a.failingSince
 	isNew = a.recoveredAt.Before(begin)
 	a.respondedAt, a.failingSince = now, time.Time{}
-	isOutage := !begin.IsZero() && silence >= minOutage
+	isOutage := !begin.IsZero() && hasResponded && silence >= minOutage
 	if isOutage || wasRestored {
 		a.recoveredAt = now
 	}
