Read the fakes of three tests under their locks

They read fields of their fake replicas and stores that other goroutines write. The checks are unchanged. With -race the packages pass: batcher and pinner three times each, blocker once.

--- a/internal/server/batcher/crashing_piece_test.go
+++ b/internal/server/batcher/crashing_piece_test.go
@@ -53,10 +53,12 @@
 	var o *Owner
 	register := func() {
 		var list []server.Replica
+		mu.Lock()
 		for i := range replicas {
 			id := fmt.Sprint("i-", i)
 			list = append(list, server.Replica{ID: id, Service: "s", Address: id, StartMillis: born[id]})
 		}
+		mu.Unlock()
 		batch := &server.Batch{Slots: 1, MaxPieces: 12, CallOverhead: 150 * time.Millisecond, ResultMemory: 1 << 20, ResultTTL: 4 * time.Second}
 		o.UpdateServices(map[string]server.Backend{"s": {Name: "s", Batch: batch}}, func(string) []server.Replica { return list })
 	}
@@ -104,16 +106,19 @@
 	}
 	group.Wait()
 	time.Sleep(time.Second)
+	mu.Lock()
+	crashes, servedCount, sentCount := slices.Clone(crashedAt), served, sent
+	mu.Unlock()
 	late := 0
-	for _, at := range crashedAt {
-		if at.Sub(crashedAt[allowedCrashes-1]) > maxLearnDelay {
+	for _, at := range crashes {
+		if at.Sub(crashes[allowedCrashes-1]) > maxLearnDelay {
 			late++
 		}
 	}
-	t.Log("crashes:", len(crashedAt), "late:", late, "served:", served, "of", sent)
-	is.True(len(crashedAt) >= allowedCrashes)
+	t.Log("crashes:", len(crashes), "late:", late, "served:", servedCount, "of", sentCount)
+	is.True(len(crashes) >= allowedCrashes)
 	is.True(late <= maxLateCalls)
-	is.True(served >= sent*9/10)
+	is.True(servedCount >= sentCount*9/10)
 	job := testJob("bad/again", 3)
 	job.Key, job.Content = "bad", server.ContentKey("bad")
 	is.Equal(submitAndWait(o, job).Failure, server.PieceFailureBlocked)
--- a/internal/server/blocker/blocker_test.go
+++ b/internal/server/blocker/blocker_test.go
@@ -64,6 +64,13 @@
 	return rows, 1, nil
 }
 
+// counts returns the number of rows, and how often they were read.
+func (s *fakeStore) counts() (rows, loads int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.rows), s.loads
+}
+
 func (s *fakeStore) Watch(context.Context, string, uint64, time.Duration) ([]server.StoredRow, uint64, error) {
 	return nil, 0, nil
 }
@@ -381,14 +388,16 @@
 				f.restart(i)
 			}
 			is.True(isFree(f.members[0], bad))
-			loads := f.store.loads
+			_, loadsBefore := f.store.counts()
 			crash(100)
-			is.Equal(f.store.loads, loads) // one crash has many causes
+			_, loads := f.store.counts()
+			is.Equal(loads, loadsBefore) // one crash has many causes
 			crash(101)
 			for _, m := range f.members {
 				is.True(!isFree(m, bad))
 			}
-			is.True(f.store.loads-loads <= 4) // the instance and those that it reports to
+			_, loads = f.store.counts()
+			is.True(loads-loadsBefore <= 4) // the instance and those that it reports to
 		})
 	}
 }
@@ -406,10 +415,12 @@
 			time.Sleep(700 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
-		is.Equal(len(f.store.rows), 1)
+		rows, _ := f.store.counts()
+		is.Equal(rows, 1)
 		f.members[1].RecordCompletion("orders", content)
 		time.Sleep(time.Second)
-		is.Equal(len(f.store.rows), 0)
+		rows, _ = f.store.counts()
+		is.Equal(rows, 0)
 		is.True(isFree(f.members[0], content))
 	})
 }
--- a/internal/server/pinner/archive_test.go
+++ b/internal/server/pinner/archive_test.go
@@ -41,6 +41,13 @@
 	return rows, 1, nil
 }
 
+// counts returns how often the rows were read and written.
+func (s *fakeStore) counts() (loads, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads, s.writes
+}
+
 func (s *fakeStore) Watch(context.Context, string, uint64, time.Duration) ([]server.StoredRow, uint64, error) {
 	return nil, 0, nil
 }
@@ -152,7 +159,8 @@
 			f.pinners["edge-0"].Record(fmt.Sprint(i), origin)
 			time.Sleep(20 * time.Millisecond)
 		}
-		is.Equal(f.store.writes+f.store.loads, 0)
+		loads, writes := f.store.counts()
+		is.Equal(loads+writes, 0)
 		f.loseAll()
 	})
 }
@@ -168,7 +176,8 @@
 			is.True(!ok)
 			time.Sleep(10 * time.Millisecond)
 		}
-		is.True(f.store.loads <= 6) // one a second
+		loads, _ := f.store.counts()
+		is.True(loads <= 6) // one a second
 		f.loseAll()
 	})
 }
@@ -182,7 +191,8 @@
 			f.pinners[fmt.Sprint("edge-", i%85)].Record(fmt.Sprint(i), origin)
 			time.Sleep(20 * time.Millisecond)
 		}
-		is.True(f.store.writes <= 50*10)
+		_, writes := f.store.counts()
+		is.True(writes <= 50*10)
 		f.loseAll()
 	})
 }
