--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -53,8 +53,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*scene) (isBroken bool, err error){
-	"mixed-inputs": runMixedInputs,
-	"cut-streams":  runCutStreams,
+	"mixed-inputs":    runMixedInputs,
+	"cut-streams":     runCutStreams,
+	"joined-versions": runJoinedVersions,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_standin/replica.go
+++ b/review/_standin/replica.go
@@ -22,6 +22,47 @@
 	mu                         sync.Mutex
 	state                      string
 	seq                        int
+	// isDown is set while the process of the replica has ended. conns are its open connections.
+	isDown bool
+	conns  map[net.Conn]bool
+}
+
+// restart ends the process of the replica, and starts it after a time under the same ID and address
+// with another version of its software.
+func (r *replica) restart(s *store, downTime time.Duration, version string) {
+	r.mu.Lock()
+	r.isDown = true
+	for conn := range r.conns {
+		// A process that is killed resets its connections.
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	r.mu.Unlock()
+	time.Sleep(downTime)
+	r.mu.Lock()
+	r.isDown, r.version, r.born, r.seq = false, version, time.Now().UnixMilli(), 0
+	r.mu.Unlock()
+	r.writeRow(s)
+}
+
+// currentVersion returns the version of the software that runs now.
+func (r *replica) currentVersion() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
+// writeRow writes the row of the replica unless its process is down.
+func (r *replica) writeRow(s *store) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isDown {
+		return
+	}
+	r.seq++
+	s.put("servers", r.id, map[string]any{
+		"Service": r.service, "Addr": r.address(), "Zone": r.zone, "Version": r.version, "Slots": r.slots, "State": r.state, "ColdLeftMs": 0, "Seq": r.seq, "born": r.born,
+	})
 }
 
 // replicaConn is a connection to a replica. Responses are written through it.
@@ -47,13 +88,25 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{id: id, service: service, version: version, zone: zone, slots: slots, listener: listener, born: time.Now().UnixMilli(), handler: handler, state: "ready"}
+	r := &replica{id: id, service: service, version: version, zone: zone, slots: slots, listener: listener, born: time.Now().UnixMilli(), handler: handler, state: "ready", conns: make(map[net.Conn]bool)}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
+			r.mu.Lock()
+			isDown := r.isDown
+			if !isDown {
+				r.conns[conn] = true
+			}
+			r.mu.Unlock()
+			if isDown {
+				// The listener stays open, so that the port is kept; nobody is behind it.
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+				continue
+			}
 			go r.serve(conn)
 		}
 	}()
@@ -64,28 +117,22 @@
 
 // register writes the row of the replica, now and every 1.2 s.
 func (r *replica) register(s *store) {
-	write := func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.state == "gone" {
-			return
-		}
-		r.seq++
-		s.put("servers", r.id, map[string]any{
-			"Service": r.service, "Addr": r.address(), "Zone": r.zone, "Version": r.version, "Slots": r.slots, "State": r.state, "ColdLeftMs": 0, "Seq": r.seq, "born": r.born,
-		})
-	}
-	write()
+	r.writeRow(s)
 	go func() {
 		for {
 			time.Sleep(1200 * time.Millisecond)
-			write()
+			r.writeRow(s)
 		}
 	}()
 }
 
 func (r *replica) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	defer func() {
+		_ = conn.Close()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, conn)
+	}()
 	requests := make(chan *http.Request)
 	bodies := make(chan []byte)
 	c := &replicaConn{Conn: conn, closed: make(chan struct{})}
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -22,6 +22,41 @@
 	history  []storeRow
 	changed  chan struct{}
 	started  time.Time
+	// downUntil is the end of an outage in which the store answers no call, and accepts none.
+	downUntil time.Time
+}
+
+// setDown has the store answer nothing for a time.
+func (s *store) setDown(duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.downUntil = time.Now().Add(duration)
+	// Feeds that wait notice the outage.
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// isDown reports whether the store answers nothing now.
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.downUntil)
+}
+
+// hangWhileDown keeps a call without an answer while the store is down, and then breaks its
+// connection off, so that nothing was done. It reports whether it did.
+func (s *store) hangWhileDown(r *http.Request) bool {
+	if !s.isDown() {
+		return false
+	}
+	s.mu.Lock()
+	left := time.Until(s.downUntil)
+	s.mu.Unlock()
+	select {
+	case <-time.After(left):
+	case <-r.Context().Done():
+	}
+	return true
 }
 
 type storeRow struct {
@@ -43,14 +78,24 @@
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", s.commit)
-	go func() { _ = http.Serve(listener, mux) }()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.hangWhileDown(r) {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+	go func() { _ = http.Serve(listener, handler) }()
 	return s, nil
 }
 
 func (s *store) address() string { return s.listener.Addr().String() }
 
-// put writes a row as the operator or a replica does; a nil value deletes it.
+// put writes a row as the operator or a replica does; a nil value deletes it. It writes nothing while
+// the store is down.
 func (s *store) put(table, key string, value any) {
+	if s.isDown() {
+		return
+	}
 	var data []byte
 	if value != nil {
 		data, _ = json.Marshal(value)
@@ -110,6 +155,9 @@
 		}
 		select {
 		case <-changed:
+			if s.hangWhileDown(r) {
+				panic(http.ErrAbortHandler)
+			}
 		case <-timeout:
 			writeJSON(w, http.StatusOK, map[string]any{"Rows": rows, "Ver": version, "NowMs": s.nowMs()})
 			return
