--- a/review/_standin/cut_streams.go
+++ b/review/_standin/cut_streams.go
@@ -11,7 +11,7 @@
 
 // The case cut-streams: during a release, while one replica of the old software version is left, an
 // instance is stopped with SIGTERM, and that replica falls silent for a second or so. It is sound and
-// goes on afterwards.
+// goes on afterwards. With TROUBLE=0 the instance is stopped too, and the replica does not fall silent.
 
 const (
 	streamEvents   = 20
