review: case 2, orders with an encoded slash in their path run twice

Cause: the route is found by the decoded path, and the path is forwarded as it was sent. Ruled out: the lost answers alone; orders without an encoded slash run once and are answered 502.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -55,6 +55,8 @@
 var cases = map[string]func(*scene) (isBroken bool, err error){
 	"mixed-inputs":    runMixedInputs,
 	"cut-streams":     runCutStreams,
+	"last-tenant":     runLastTenant,
+	"decoded-path":    runDecodedPath,
 	"joined-versions": runJoinedVersions,
 }
 
