--- a/review/_standin/instance.go
+++ b/review/_standin/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -91,18 +92,30 @@
   BlobMbS: 80.0
 `
 
+// The ports of instances lie below those that Linux gives to outgoing connections, one of which could
+// take a port otherwise while its instance is being started.
+const (
+	firstPort = 15000
+	portCount = 15000
+	portTries = 200
+)
+
 // freePorts returns ports of the loopback interface that were free a moment ago.
 func freePorts(count int) ([]int, error) {
 	var ports []int
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		if len(ports) == count {
+			return ports, nil
+		}
+		port := firstPort + rand.IntN(portCount)
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("no %d free ports from %d on", count, firstPort)
 }
 
 // newInstance writes the settings of an instance; start starts it.
