--- a/review/_standin/mixed_inputs.go
+++ b/review/_standin/mixed_inputs.go
@@ -191,8 +191,10 @@
 	statuses := make(map[string]int)
 	for n := 0; time.Since(startedAt) < mixedTraffic; n++ {
 		clients.Go(func() {
-			header := http.Header{"Attempt-Id": {fmt.Sprintf("%016x", 0x1000+n)}, "Key": {"key-of-mill"}, "Model": {"m"}, "Token-Counts": {"1460,10"},
-				"Prompt-Prefix": {fmt.Sprintf("5c1e07a2:800,%08x:660", 0xa000+n)}, "Pieces": {"1"}, "Piece-Key": {fmt.Sprintf("%012x", 0x77000+n)}}
+			header := http.Header{
+				"Attempt-Id": {fmt.Sprintf("%016x", 0x1000+n)}, "Key": {"key-of-mill"}, "Model": {"m"}, "Token-Counts": {"1460,10"},
+				"Prompt-Prefix": {fmt.Sprintf("5c1e07a2:800,%08x:660", 0xa000+n)}, "Pieces": {"1"}, "Piece-Key": {fmt.Sprintf("%012x", 0x77000+n)},
+			}
 			a := request(s.instances[n%2].front, http.MethodPost, "pool.example", "/digest/2f", header, "{}", 8*time.Second)
 			s.record.add("request %016x at %s: status %d, whole %v, took %d ms", 0x1000+n, s.instances[n%2].id, a.status, a.isWhole, a.took.Milliseconds())
 			mu.Lock()
