--- a/review/_standin/main.go
+++ b/review/_standin/platform/main.go
@@ -1,7 +1,7 @@
-// Program _standin runs the cases of the review: it is the platform's store, the replicas and the
+// Program platform runs the cases of the review: it is the platform's store, the replicas and the
 // clients, and starts the instances of the project as processes of their own.
 //
-// Usage: _standin CASE RECORD. It exits with 1 if the rule was broken, with 0 if it held, and with 2
+// Usage: review-standin CASE RECORD. It exits with 1 if the rule was broken, with 0 if it held, and with 2
 // if the case could not run. With TROUBLE=0 in the environment there is no disruption.
 package main
 
@@ -65,7 +65,7 @@
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: _standin CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE RECORD")
 		return 2
 	}
 	out, err := os.Create(os.Args[2])
