pauser: record the pauses that replicas request in refusals

No log line or metric stated that a refusal carried Retry-After, or that a request was sent in spite of it.

--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -29,6 +29,7 @@
 	"oriolemill.example/oriolemill/internal/server/gossiper"
 	"oriolemill.example/oriolemill/internal/server/linker"
 	"oriolemill.example/oriolemill/internal/server/meter"
+	"oriolemill.example/oriolemill/internal/server/pauser"
 	"oriolemill.example/oriolemill/internal/server/pinner"
 	"oriolemill.example/oriolemill/internal/server/recorder"
 	"oriolemill.example/oriolemill/internal/server/registrar"
@@ -70,6 +71,7 @@
 	pinner            *pinner.Pinner
 	blocker           *blocker.Blocker
 	throttler         *throttler.Throttler
+	pauser            *pauser.Pauser
 	chooser           *chooser.Chooser
 	dialer            *dialer.Dialer
 	dialerOptions     []dialer.Option
@@ -139,8 +141,9 @@
 	i.dialer = dialer.New(timer, append(i.dialerOptions, dialer.WithTunnel(i.tunnel), dialer.WithPathHandler(i.reportPath))...)
 	i.helper = tunneler.NewHelper(log, i.dialer, func(id string) (server.Replica, bool) { return i.registrar.View().Replica(id) })
 	i.throttler = throttler.New(log, timer, settings.ID, i.linker)
+	i.pauser = pauser.New(log, timer)
 	upstreamExchanger := exchanger.New(i.dialer, adapter.Codec, exchanger.WithServing(func(replica *server.Replica) bool { return i.registrar.View().IsServing(replica) }),
-		exchanger.WithLeavingHandler(i.registrar.RecordLeaving), exchanger.WithLimits(timer, i.throttler))
+		exchanger.WithLeavingHandler(i.registrar.RecordLeaving), exchanger.WithLimits(timer, i.throttler), exchanger.WithPauses(timer, i.pauser))
 	i.blocker = blocker.New(log, timer, i.linker, blocker.WithArchive(adapter.Store))
 	i.owner = batcher.NewOwner(log, timer, upstreamExchanger, budget, batcher.WithBlocker(i.blocker))
 	i.submitter = batcher.NewSubmitter(log, timer, i.linker, i.owner)
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -26,8 +26,10 @@
 	isServing func(*server.Replica) bool
 	// onLeaving is called when a replica states in a response that it is leaving.
 	onLeaving func(*server.Replica)
-	// limits keeps the limits that replicas state, unless it is nil; timer is set with it.
+	// limits keeps the limits that replicas state, and pauses the pauses that they request, unless they
+	// are nil; timer is set with each of them.
 	limits server.LimitKeeper
+	pauses server.PauseKeeper
 	timer  server.Timer
 }
 
@@ -52,6 +54,11 @@
 	return func(x *Exchanger) { x.timer, x.limits = timer, limits }
 }
 
+// WithPauses has the pauses that replicas request in responses recorded.
+func WithPauses(timer server.Timer, pauses server.PauseKeeper) Option {
+	return func(x *Exchanger) { x.timer, x.pauses = timer, pauses }
+}
+
 // New returns an Exchanger.
 func New(d *dialer.Dialer, codec server.Codec, options ...Option) *Exchanger {
 	x := &Exchanger{dialer: d, codec: codec, isServing: func(*server.Replica) bool { return true }, onLeaving: func(*server.Replica) {}}
@@ -178,7 +185,7 @@
 		return nil, server.SendStateUnsent, err
 	}
 	var sentAt time.Time
-	if x.limits != nil {
+	if x.timer != nil {
 		sentAt = x.timer.Now()
 	}
 	detach := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -210,6 +217,17 @@
 		return nil, server.SendStateUnknown, server.NewFault("exchange", replica.ID, err)
 	}
 	info := x.codec.ParseResponse(response.StatusCode, response.Header)
+	x.recordResponse(replica, info, sentAt)
+	body := &endTracker{ReadCloser: response.Body}
+	response.Body = body
+	return &Answer{
+		Response: response, body: body, info: info, conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach,
+	}, server.SendStateAnswered, nil
+}
+
+// recordResponse records what a replica states of itself in a response to a request that was sent at sentAt
+// or later.
+func (x *Exchanger) recordResponse(replica *server.Replica, info server.ResponseInfo, sentAt time.Time) {
 	if info.IsLeaving && !info.IsMisdirected {
 		// A misdirected request was answered by another replica.
 		x.onLeaving(replica)
@@ -217,11 +235,9 @@
 	if x.limits != nil {
 		x.limits.RecordResponse(replica, info, sentAt)
 	}
-	body := &endTracker{ReadCloser: response.Body}
-	response.Body = body
-	return &Answer{
-		Response: response, body: body, info: info, conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach,
-	}, server.SendStateAnswered, nil
+	if x.pauses != nil {
+		x.pauses.RecordResponse(replica, info, sentAt)
+	}
 }
 
 // ComputePieces implements batcher.Caller: it has a replica compute pieces.
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -194,6 +194,16 @@
 	RecordResponse(replica *Replica, info ResponseInfo, sentAt time.Time)
 }
 
+// PauseKeeper keeps the pauses that replicas request: the times for which a replica wants no request from
+// this instance. It must be safe for concurrent use.
+type PauseKeeper interface {
+	// PausedFor returns for how long a replica wants no request; zero if it takes requests.
+	PausedFor(replica *Replica) time.Duration
+	// RecordResponse records what a replica states in a response to a request that was sent at
+	// sentAt or later.
+	RecordResponse(replica *Replica, info ResponseInfo, sentAt time.Time)
+}
+
 // Instance is a process of the deployment, as its row in the store describes it.
 type Instance struct {
 	ID         string `json:"id"`
@@ -279,6 +289,8 @@
 	// response states a limit that cannot be read.
 	HasLimit, IsLimitUnknown bool
 	LimitPerSecond           float64
+	// Pause is how long the replica wants no request from this instance; zero if it takes requests.
+	Pause time.Duration
 	// IsSigned means that the response carries the signature of a completed run.
 	IsSigned bool
 	// IdleTimeout is the time for which the upstream keeps an idle connection open; zero
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -104,6 +104,8 @@
 	replica, version string
 	// origin is what began the stream whose events the client has; nil without any.
 	origin *server.StreamOrigin
+	// pause is what the replica requested in the response to the last attempt; zero for none.
+	pause time.Duration
 	// framing is that of the last response of a replica; "" without any.
 	framing        exchanger.Framing
 	stagesDuration time.Duration
@@ -253,7 +255,7 @@
 	}
 	if outcome != attemptComplete && outcome != attemptDisconnected {
 		f.Log.Info("attempt failed", "request", f.info.ID, "route", f.route.Name, "service", f.service, "replica", replica.ID,
-			"version", replica.Version, "born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "framing", f.framing, "unfinished", len(f.events.remainder()), "parts", f.loggedParts(), "content", f.loggedContent(), "took_ms", duration.Milliseconds(),
+			"version", replica.Version, "born", replica.StartMillis, "fate", outcome.String(), "cause", f.reason, "framing", f.framing, "unfinished", len(f.events.remainder()), "parts", f.loggedParts(), "content", f.loggedContent(), "pause_ms", f.pause.Milliseconds(), "took_ms", duration.Milliseconds(),
 			"left_ms", f.remaining().Milliseconds(), "attempts", f.attemptCount, "tries", f.tryCount, "again", next == actionRetry || next == actionRecomputeInputs)
 	}
 	if outcome != attemptUnsent && outcome != attemptRefused && outcome != attemptMisdirected && outcome != attemptInputsLost {
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -61,7 +61,7 @@
 	defer f.stopStallTimer()
 	request := f.upstreamRequest(replica)
 	request.Check = func() error { return f.checkSend(replica) }
-	f.framing = ""
+	f.framing, f.pause = "", 0
 	response, sendState, err := f.Exchanger.Do(ctx, replica, request)
 	if sendState != server.SendStateUnsent {
 		f.attemptCount++
@@ -72,6 +72,7 @@
 	}
 	f.framing = response.Framing()
 	responseInfo := response.ResponseInfo()
+	f.pause = responseInfo.Pause
 	attempt.RecordHeaders(responseInfo)
 	switch {
 	case responseInfo.IsMisdirected:
