exchanger, relayer, batcher: send nothing to a replica in a pause that it has requested

Seen: a replica that answered 503 with Retry-After: 3 got up to 119 requests from one instance in that time; callers were told to return after 0.4 s of a pause of 30 s. Cause: no code read Retry-After of replicas. Change: pauser keeps the pauses, and exchanger, the one way to a replica, withholds requests, stage calls and releases in them, also right before the first byte. The relayer chooses other replicas, lets a bounded number of requests wait for a pause that ends in time, and refuses the others at once with the rest of the pause. Owners of stage services give up pieces at once that would be too late, and count pauses in their estimates.

--- a/internal/server/batcher/calls.go
+++ b/internal/server/batcher/calls.go
@@ -188,7 +188,11 @@
 func (o *Owner) handleCallError(s *ownedService, c *call, err error, timedOut bool, now time.Time) {
 	b := c.replica
 	if errors.Is(err, server.ErrWithheld) {
-		b.blockedUntil = now.Add(max(overloadBackoff, retryAfter(err)))
+		wait := retryAfter(err)
+		if o.updatePauses(s, now); now.Before(b.pausedUntil) {
+			wait = 0
+		}
+		b.blockedUntil = now.Add(max(overloadBackoff, wait))
 		for _, p := range c.pieces {
 			if !p.task.isFinished {
 				s.queue.enqueue(p) // no replica has received it, so this is not a retry
--- a/internal/server/batcher/estimate.go
+++ b/internal/server/batcher/estimate.go
@@ -91,16 +91,18 @@
 }
 
 // throughput returns the time until the next call can begin, or -1 when no replica can
-// take one, and the pieces per second that the available replicas compute in full calls.
+// take one, and the pieces per second that the available replicas compute in full calls. While all
+// replicas are paused, those whose pause ends first count as available.
 func (q *queue) throughput(now time.Time) (untilNextCall time.Duration, perSecond float64) {
 	untilNextCall = -1
+	pause := q.untilPauseEnd(now)
 	for _, b := range q.replicas {
-		if b.isUnregistered || now.Before(b.blockedUntil) {
+		if b.isUnregistered || b.isBlocked(now.Add(pause)) {
 			continue
 		}
-		untilFree := time.Duration(0)
+		untilFree := pause
 		if b.activeCalls >= q.batch.Slots {
-			untilFree = max(b.freeAt.Sub(now), 0)
+			untilFree = max(b.freeAt.Sub(now), pause)
 		}
 		if untilNextCall < 0 || untilFree < untilNextCall {
 			untilNextCall = untilFree
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -68,6 +68,8 @@
 	sendState func(*encoder.ServiceState)
 	// blocker knows the requests whose pieces crash replicas; nil without one.
 	blocker server.RequestBlocker
+	// pauses knows the pauses that replicas request; nil without one.
+	pauses server.PauseKeeper
 	// draining is set once the instance stops: new jobs are left to the next owner.
 	draining bool
 }
@@ -105,6 +107,11 @@
 	return func(o *Owner) { o.blocker = blocker }
 }
 
+// WithPauses has no calls prepared for replicas in their pauses.
+func WithPauses(pauses server.PauseKeeper) OwnerOption {
+	return func(o *Owner) { o.pauses = pauses }
+}
+
 // NewOwner returns an Owner without services; a service is added by UpdateServices or
 // when it is first used. Stop must be called at the end.
 func NewOwner(log logr.Logger, timer server.Timer, caller Caller, budget server.RetryBudget, options ...OwnerOption) *Owner {
@@ -287,7 +294,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if s := o.services[service]; s != nil {
-		return s.queue.waitTimes(o.timer.Now()), s.queue.typicalDuration()
+		now := o.timer.Now()
+		o.updatePauses(s, now)
+		return s.queue.waitTimes(now), s.queue.typicalDuration()
 	}
 	return nil, 0
 }
@@ -296,6 +305,7 @@
 // has shed. The caller holds mu.
 func (o *Owner) dispatch(s *ownedService) {
 	now := o.timer.Now()
+	o.updatePauses(s, now)
 	for {
 		c, shed := s.queue.nextCall(now)
 		for _, t := range shed {
@@ -312,6 +322,19 @@
 	o.scheduleDispatch(s, now)
 }
 
+// updatePauses updates the pauses of the replicas, which may also have been requested in responses to
+// releases. The caller holds mu.
+func (o *Owner) updatePauses(s *ownedService, now time.Time) {
+	if o.pauses == nil {
+		return
+	}
+	for _, b := range s.queue.replicas {
+		if wait := o.pauses.PausedFor(&b.Replica); wait > 0 {
+			b.pausedUntil = now.Add(wait)
+		}
+	}
+}
+
 // scheduleDispatch schedules the next dispatch: when a queued task has waited for
 // localityWait or the backoff of a replica ends, at the latest localityWait from now. The
 // caller holds mu.
@@ -330,8 +353,10 @@
 		}
 	}
 	for _, b := range s.queue.replicas {
-		if b.blockedUntil.After(now) && b.blockedUntil.Before(dispatchAt) {
-			dispatchAt = b.blockedUntil
+		for _, blockEnd := range [...]time.Time{b.blockedUntil, b.pausedUntil} {
+			if blockEnd.After(now) && blockEnd.Before(dispatchAt) {
+				dispatchAt = blockEnd
+			}
 		}
 	}
 	s.cancelDispatch = o.timer.After(dispatchAt.Sub(now)+time.Millisecond, func(time.Time) {
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -115,9 +115,10 @@
 // pruneTasks removes the finished tasks and those that are shed, and returns the latter. A
 // task is shed if no call can end before its hard deadline, if it has waited for too long
 // since it could no longer meet its soft deadline, or if it cannot meet that while the
-// queue is backlogged.
+// queue is backlogged. If all replicas have requested pauses, what counts is the end of the first one.
 func (q *queue) pruneTasks(now time.Time) []*task {
 	var shed []*task
+	now = now.Add(q.untilPauseEnd(now))
 	earliestEnd, callDuration, isBacklogged := now.Add(q.shortestCall()), q.nextCallDuration(), q.isBacklogged()
 	q.tasks = slices.DeleteFunc(q.tasks, func(t *task) bool {
 		// A task that misses its soft deadline becomes part of no call during a backlog,
@@ -137,6 +138,25 @@
 	return shed
 }
 
+// untilPauseEnd returns the time until the first replica takes calls, if all registered ones have requested
+// pauses; otherwise zero.
+func (q *queue) untilPauseEnd(now time.Time) time.Duration {
+	var shortest time.Duration
+	for _, b := range q.replicas {
+		if b.isUnregistered {
+			continue
+		}
+		wait := b.pausedUntil.Sub(now)
+		if wait <= 0 {
+			return 0
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
 // exceedsLateWait reports whether a task has waited for longer than maxLateWait since it
 // could no longer meet its soft deadline.
 func (t *task) exceedsLateWait(now time.Time, callDuration time.Duration) bool {
@@ -170,7 +190,7 @@
 func (q *queue) idleReplicas(now time.Time) []*trackedReplica {
 	var idle []*trackedReplica
 	for _, b := range q.replicas {
-		if !b.isUnregistered && b.activeCalls < q.batch.Slots && !now.Before(b.blockedUntil) {
+		if !b.isUnregistered && b.activeCalls < q.batch.Slots && !b.isBlocked(now) {
 			b.expireResults(now)
 			b.decaySlowdown(now)
 			idle = append(idle, b)
@@ -187,7 +207,7 @@
 func (q *queue) slotTimes(now time.Time) map[string][]time.Time {
 	times := make(map[string][]time.Time)
 	for _, b := range q.replicas {
-		if b.isUnregistered || now.Before(b.blockedUntil) || q.isSlow(b) {
+		if b.isUnregistered || b.isBlocked(now) || q.isSlow(b) {
 			continue
 		}
 		freeAt := now
@@ -224,7 +244,7 @@
 	}
 	end := now.Add(slow.expectedDuration(&q.batch, min(q.length, q.batch.MaxPieces)))
 	for _, b := range q.replicas {
-		if b.isUnregistered || b == slow || q.isSlow(b) || now.Before(b.blockedUntil) {
+		if b.isUnregistered || b == slow || q.isSlow(b) || b.isBlocked(now) {
 			continue
 		}
 		// If the queue is longer than one call of each replica, other pieces come first,
--- a/internal/server/batcher/release.go
+++ b/internal/server/batcher/release.go
@@ -88,7 +88,7 @@
 // recordRelease subtracts released results from the used memory of their replica. err is
 // the error of the release call; after a failed one the results stay until they expire.
 func (o *Owner) recordRelease(s *ownedService, holder *server.Replica, handles []string, err error) {
-	if errors.Is(err, server.ErrWithheld) {
+	if errors.Is(err, server.ErrWithheld) || errors.Is(err, server.ErrOverload) && retryAfter(err) > 0 {
 		o.postponeRelease(s, holder, handles, max(overloadBackoff, retryAfter(err)))
 		return
 	}
--- a/internal/server/batcher/tracked_replica.go
+++ b/internal/server/batcher/tracked_replica.go
@@ -33,10 +33,17 @@
 	// No call is sent to the replica before blockedUntil.
 	blockedUntil        time.Time
 	consecutiveFailures int
+	// pausedUntil is the end of the last pause that the replica has requested.
+	pausedUntil time.Time
 	// isUnregistered is set while the replica is not listed; it gets no calls then.
 	isUnregistered bool
 }
 
+// isBlocked reports whether no call may be sent to the replica now.
+func (b *trackedReplica) isBlocked(now time.Time) bool {
+	return now.Before(b.blockedUntil) || now.Before(b.pausedUntil)
+}
+
 // storedResult is a result in a replica's memory.
 type storedResult struct {
 	bytes     int64
--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -145,7 +145,7 @@
 	upstreamExchanger := exchanger.New(i.dialer, adapter.Codec, exchanger.WithServing(func(replica *server.Replica) bool { return i.registrar.View().IsServing(replica) }),
 		exchanger.WithLeavingHandler(i.registrar.RecordLeaving), exchanger.WithLimits(timer, i.throttler), exchanger.WithPauses(timer, i.pauser))
 	i.blocker = blocker.New(log, timer, i.linker, blocker.WithArchive(adapter.Store))
-	i.owner = batcher.NewOwner(log, timer, upstreamExchanger, budget, batcher.WithBlocker(i.blocker))
+	i.owner = batcher.NewOwner(log, timer, upstreamExchanger, budget, batcher.WithBlocker(i.blocker), batcher.WithPauses(i.pauser))
 	i.submitter = batcher.NewSubmitter(log, timer, i.linker, i.owner)
 	i.chooser = chooser.New(timer)
 	i.pinner = pinner.New(timer, i.linker, pinner.WithArchive(log, adapter.Store, pinner.ArchiveRow(i.self.ID, strconv.FormatInt(i.self.StartMillis, 10)),
@@ -154,7 +154,8 @@
 		}))
 	i.relayer = relayer.New(relayer.Dependencies{
 		Log: log, Timer: timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
-		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, RequestBlocker: i.blocker, Limits: i.throttler, Meter: i.meter,
+		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, RequestBlocker: i.blocker, Limits: i.throttler,
+		Pauses: i.pauser, InstanceCount: i.linker.MemberCount, Meter: i.meter,
 	})
 	i.fronter = fronter.New(log, listeners.clients, i.relayer)
 	i.registerCounters()
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -54,7 +54,8 @@
 	return func(x *Exchanger) { x.timer, x.limits = timer, limits }
 }
 
-// WithPauses has the pauses that replicas request in responses recorded.
+// WithPauses has the pauses that replicas request in responses recorded, and everything withheld from a replica
+// in its pause.
 func WithPauses(timer server.Timer, pauses server.PauseKeeper) Option {
 	return func(x *Exchanger) { x.timer, x.pauses = timer, pauses }
 }
@@ -180,6 +181,9 @@
 // exchange sends a request on one connection; see Do. It returns errStale if nothing was
 // sent since the connection cannot be reused.
 func (x *Exchanger) exchange(ctx context.Context, replica *server.Replica, request *Request) (answer *Answer, sendState server.SendState, err error) {
+	if err := x.checkPause(replica); err != nil {
+		return nil, server.SendStateUnsent, err
+	}
 	conn, err := x.dialer.Acquire(ctx, replica, request.AtMostOnce)
 	if err != nil {
 		return nil, server.SendStateUnsent, err
@@ -190,26 +194,13 @@
 	}
 	detach := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	sendResult := make(chan error, 1)
-	go func() {
-		if request.Check != nil {
-			if err := request.Check(); err != nil {
-				sendResult <- merry.Prepend(server.ErrWithheld, err.Error())
-				_ = conn.Close() // ends ReadResponse
-				return
-			}
-		}
-		if conn.IsReused() && conn.IsClosed() {
-			sendResult <- errStale
-			return
-		}
-		sendResult <- conn.WriteRequest(request.Method, request.Target, request.Host, request.Header, request.Body)
-	}()
+	go func() { sendResult <- x.send(conn, replica, request) }()
 	response, err := conn.ReadResponse(request.Method, request.ID, func(r *http.Response) string { return x.codec.ParseResponse(r.StatusCode, r.Header).ID })
 	if err != nil {
 		detach()
 		_ = conn.Close() // ends WriteRequest
 		if sendErr := <-sendResult; errors.Is(sendErr, server.ErrWithheld) || errors.Is(sendErr, errStale) {
-			return nil, server.SendStateUnsent, server.NewFault("exchange", replica.ID, sendErr)
+			return nil, server.SendStateUnsent, sendErr
 		}
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -225,6 +216,41 @@
 	}, server.SendStateAnswered, nil
 }
 
+// send writes a request on a connection. It returns ErrWithheld, and closes the connection, if the request must
+// not be sent any more, and errStale if the connection was closed.
+func (x *Exchanger) send(conn *dialer.Conn, replica *server.Replica, request *Request) error {
+	if err := x.checkSend(replica, request); err != nil {
+		_ = conn.Close() // ends ReadResponse
+		return err
+	}
+	if conn.IsReused() && conn.IsClosed() {
+		return server.NewFault("exchange", replica.ID, errStale)
+	}
+	return conn.WriteRequest(request.Method, request.Target, request.Host, request.Header, request.Body)
+}
+
+// checkSend returns ErrWithheld if a request must not be sent now.
+func (x *Exchanger) checkSend(replica *server.Replica, request *Request) error {
+	if request.Check != nil {
+		if err := request.Check(); err != nil {
+			return server.NewFault("exchange", replica.ID, merry.Prepend(server.ErrWithheld, err.Error()))
+		}
+	}
+	return x.checkPause(replica)
+}
+
+// checkPause returns ErrWithheld, with the rest of the pause, if a replica wants no requests now.
+func (x *Exchanger) checkPause(replica *server.Replica) error {
+	if x.pauses == nil {
+		return nil
+	}
+	wait := x.pauses.PausedFor(replica)
+	if wait == 0 {
+		return nil
+	}
+	return server.NewFault("pause", replica.ID, merry.Prepend(server.ErrWithheld, "the replica has requested a pause"), server.WithRetryAfter(wait))
+}
+
 // recordResponse records what a replica states of itself in a response to a request that was sent at sentAt
 // or later.
 func (x *Exchanger) recordResponse(replica *server.Replica, info server.ResponseInfo, sentAt time.Time) {
@@ -287,10 +313,13 @@
 
 // call sends a POST request, after check if that is not nil, and returns the body of the
 // response, up to maxStageResponseBytes. It returns ErrOverload if the replica refused the call,
-// ErrWithheld if it is beyond a limit that the replica states, ErrUnavailable for other failures of
+// ErrWithheld if it is beyond a limit that the replica states or in a pause that it has requested, ErrUnavailable for other failures of
 // the response, and errors of Do as they are. An error is ErrConnectionLost as well if the replica
 // ended the connection after the request was sent.
 func (x *Exchanger) call(ctx context.Context, replica *server.Replica, path string, body []byte, check func() error) ([]byte, error) {
+	if err := x.checkPause(replica); err != nil {
+		return nil, err
+	}
 	if err := x.acquire(ctx, replica); err != nil {
 		return nil, err
 	}
@@ -316,7 +345,7 @@
 	case err != nil:
 		return nil, server.NewFault("read", replica.ID, merry.Prepend(server.ErrUnavailable, err.Error()))
 	case answer.info.IsRefused:
-		return nil, server.NewFault("call", replica.ID, merry.Prependf(server.ErrOverload, "status %d", answer.StatusCode))
+		return nil, server.NewFault("call", replica.ID, merry.Prependf(server.ErrOverload, "status %d", answer.StatusCode), server.WithRetryAfter(answer.info.Pause))
 	case answer.StatusCode != http.StatusOK:
 		return nil, server.NewFault("call", replica.ID, merry.Prependf(server.ErrUnavailable, "status %d", answer.StatusCode))
 	}
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -59,6 +59,9 @@
 		return f.refuse("no replica of the service is registered", refusedRetryAfter)
 	}
 	expected, queued, age := f.expectedDelay()
+	if pause := f.pauseWait(nil); pause > expected-f.engineDelay() && !f.mayAwaitPause(pause) {
+		return f.refuse(pausedReason, f.retryAfter())
+	}
 	lateness, availableTime := f.lateness(expected), f.firstByteDeadline().Sub(f.Timer.Now())
 	if expected <= availableTime && (lateness <= 0 || queued < minRefusalQueueing) {
 		return f.reserve()
@@ -243,7 +246,7 @@
 }
 
 // retryAfter returns the time after which a refused client should repeat the request: when
-// the backlogs of its stage services will have been computed.
+// the backlogs of its stage services will have been computed, and a replica takes requests.
 func (f *relayedRequest) retryAfter() time.Duration {
 	wait := refusedRetryAfter
 	for i, stage := range f.route.Stages {
@@ -252,6 +255,9 @@
 			wait = max(wait, estimate.AfterBacklog-estimate.CallDuration)
 		}
 	}
+	if pause := f.pauseWait(nil); pause > 0 {
+		wait = max(wait, spreadPause(pause))
+	}
 	return wait
 }
 
@@ -267,7 +273,8 @@
 
 // chooseReplica returns the best replica by the current view; false when none is left.
 func (f *relayedRequest) chooseReplica() (server.Replica, bool) {
-	return f.pick(f.candidates(), f.attempted)
+	candidates := f.candidates()
+	return f.pick(candidates, f.unavailable(candidates))
 }
 
 // pick returns the best of the candidates without the excluded ones.
@@ -276,11 +283,19 @@
 }
 
 // nextReplica updates the view and returns the replica for the next attempt; false when
-// none is left.
+// none is left. It waits for the end of a pause if all replicas that are left have requested one.
 func (f *relayedRequest) nextReplica() (server.Replica, bool) {
-	f.view = f.View()
-	if replica, ok := f.takeReservation(); ok {
-		return replica, true
+	defer f.endAwaitingPause()
+	for {
+		f.view = f.View()
+		if replica, ok := f.takeReservation(); ok {
+			return replica, true
+		}
+		if replica, ok := f.acquireReplica(); ok {
+			return replica, true
+		}
+		if !f.awaitPause() {
+			return server.Replica{}, false
+		}
 	}
-	return f.acquireReplica()
 }
--- a/internal/server/relayer/limit.go
+++ b/internal/server/relayer/limit.go
@@ -30,6 +30,9 @@
 		f.reserved, f.reservedAt = &replica, f.Timer.Now()
 		return true
 	}
+	if f.pauseWait(nil) > 0 {
+		return true // nextReplica waits for its end
+	}
 	return f.refuse(limitedReason, max(f.limitWait, refusedRetryAfter))
 }
 
@@ -38,16 +41,17 @@
 func (f *relayedRequest) takeReservation() (server.Replica, bool) {
 	reserved := f.reserved
 	f.reserved = nil
-	if reserved == nil || f.Timer.Now().Sub(f.reservedAt) > maxReservation || !f.view.IsServing(reserved) {
+	if reserved == nil || f.Timer.Now().Sub(f.reservedAt) > maxReservation || !f.view.IsServing(reserved) || f.pausedFor(reserved) > 0 {
 		return server.Replica{}, false
 	}
 	return *reserved, true
 }
 
-// areAllLimited reports whether all replicas that may still get the request state limits.
+// areAllLimited reports whether all replicas that may get the request now state limits.
 func (f *relayedRequest) areAllLimited(candidates []server.Replica) bool {
+	excluded := f.unavailable(candidates)
 	return !slices.ContainsFunc(candidates, func(r server.Replica) bool {
-		return !slices.Contains(f.attempted, r.ID) && !f.Limits.IsLimited(&r)
+		return !slices.Contains(excluded, r.ID) && !f.Limits.IsLimited(&r)
 	})
 }
 
@@ -77,9 +81,9 @@
 // preferredReplicas returns the replicas that may take the request now, the best one first, up to the
 // first one without a limit.
 func (f *relayedRequest) preferredReplicas(candidates []server.Replica) []server.Replica {
-	excluded := slices.Clone(f.attempted)
+	excluded := slices.Clone(f.unavailable(candidates))
 	for n := range candidates {
-		if wait := f.Limits.BlockedFor(&candidates[n]); wait > 0 && !slices.Contains(f.attempted, candidates[n].ID) {
+		if wait := f.Limits.BlockedFor(&candidates[n]); wait > 0 && !slices.Contains(excluded, candidates[n].ID) {
 			f.recordLimitWait(wait)
 			excluded = append(excluded, candidates[n].ID)
 		}
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -53,7 +53,11 @@
 	RequestBlocker server.RequestBlocker
 	// Limits is nil if replicas state no limits.
 	Limits server.LimitKeeper
-	Meter  Meter
+	// Pauses is nil if replicas request no pauses.
+	Pauses server.PauseKeeper
+	// InstanceCount returns the number of instances that send requests to the replicas.
+	InstanceCount func() int
+	Meter         Meter
 }
 
 // Relayer is the http.Handler for clients' requests.
@@ -62,11 +66,15 @@
 	draining       atomic.Bool
 	active         atomic.Int64
 	clientTimeouts clientTimeouts
+	pauseQueue     pauseQueue
 }
 
 // New returns a Relayer with the given dependencies.
 func New(dependencies Dependencies) *Relayer {
-	return &Relayer{Dependencies: dependencies, clientTimeouts: clientTimeouts{longest: make(map[string]time.Duration)}}
+	return &Relayer{
+		Dependencies: dependencies, clientTimeouts: clientTimeouts{longest: make(map[string]time.Duration)},
+		pauseQueue: pauseQueue{waiting: make(map[string]int)},
+	}
 }
 
 // BeginDrain marks the instance as draining: every further response closes its connection.
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -121,6 +121,8 @@
 	// limitWait is the time after which a replica may take the request, if none did within the
 	// limits that they state.
 	limitWait time.Duration
+	// isAwaitingPause is set while the request waits for the end of a pause of its replicas.
+	isAwaitingPause bool
 	// lastFailure is the last complete error response of a replica, to be forwarded if no
 	// further attempt is made.
 	lastFailure *upstreamFailure
@@ -137,6 +139,7 @@
 // run handles the request until its end.
 func (f *relayedRequest) run() {
 	defer func() {
+		f.endAwaitingPause()
 		f.cancelTimeout()
 		f.cancel(nil)
 		if f.results != nil {
@@ -288,6 +291,8 @@
 // endWithoutReplica ends a request for which no replica is left.
 func (f *relayedRequest) endWithoutReplica() {
 	switch {
+	case f.isCanceled():
+		f.endDisconnected("client disconnected before a replica took the request")
 	case f.responseStarted:
 		f.shouldAbort, f.outcome, f.reason = true, outcomeBroken, "no other replica is left to resume the stream"
 	case f.lastFailure != nil:
@@ -296,6 +301,8 @@
 		f.fail(http.StatusBadGateway, "no other replica is left")
 	case f.limitWait > 0:
 		f.refuse(limitedReason, max(f.limitWait, f.retryAfter()))
+	case f.pauseWait(nil) > 0:
+		f.refuse(pausedReason, f.retryAfter())
 	default:
 		f.refuse("no replica is left", f.retryAfter())
 	}
