--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -139,9 +139,9 @@
 	budget := budgeter.New(timer, settings.Bounds.RetryRatio, settings.Bounds.RetrySlack, settings.Bounds.RetryWindow, i.linker.MemberCount)
 	i.tunnel = tunneler.NewClient(log, timer, i.linker)
 	i.dialer = dialer.New(timer, append(i.dialerOptions, dialer.WithTunnel(i.tunnel), dialer.WithPathHandler(i.reportPath))...)
-	i.helper = tunneler.NewHelper(log, i.dialer, func(id string) (server.Replica, bool) { return i.registrar.View().Replica(id) })
 	i.throttler = throttler.New(log, timer, settings.ID, i.linker)
 	i.pauser = pauser.New(log, timer)
+	i.helper = tunneler.NewHelper(log, i.dialer, func(id string) (server.Replica, bool) { return i.registrar.View().Replica(id) }, tunneler.WithPauses(i.pauser))
 	upstreamExchanger := exchanger.New(i.dialer, adapter.Codec, exchanger.WithServing(func(replica *server.Replica) bool { return i.registrar.View().IsServing(replica) }),
 		exchanger.WithLeavingHandler(i.registrar.RecordLeaving), exchanger.WithLimits(timer, i.throttler), exchanger.WithPauses(timer, i.pauser))
 	i.blocker = blocker.New(log, timer, i.linker, blocker.WithArchive(adapter.Store))
--- a/internal/server/dialer/conn.go
+++ b/internal/server/dialer/conn.go
@@ -47,6 +47,14 @@
 	hasSkippedResponse bool
 }
 
+// ReportPause reports that the replica has requested a pause in a response on the connection, to the
+// instance through which it leads, if any. It does not block.
+func (c *Conn) ReportPause(pause time.Duration) {
+	if reporter, ok := c.Conn.(interface{ ReportPause(time.Duration) }); ok {
+		reporter.ReportPause(pause)
+	}
+}
+
 // IsReused reports whether the connection has carried a request before.
 func (c *Conn) IsReused() bool { return c.isReused }
 
--- a/internal/server/dialer/connect.go
+++ b/internal/server/dialer/connect.go
@@ -15,7 +15,8 @@
 type Tunnel interface {
 	// DialThrough opens a connection to a replica through another instance. It returns
 	// ErrReplicaUnreachable if an instance with a path to the replica's service does not reach the
-	// replica either, and ErrUnavailable if no other instance helps.
+	// replica either, ErrWithheld if the replica has requested pauses from those that could help, and
+	// ErrUnavailable if no other instance helps.
 	DialThrough(ctx context.Context, replica *server.Replica) (net.Conn, error)
 }
 
@@ -126,6 +127,9 @@
 	if r.err == nil {
 		return r.conn, true, nil
 	}
+	if errors.Is(r.err, server.ErrWithheld) {
+		return nil, true, r.err
+	}
 	d.paths.recordUnreachable(replica)
 	return nil, false, directErr
 }
--- a/internal/server/dialer/dialer.go
+++ b/internal/server/dialer/dialer.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -107,7 +108,8 @@
 }
 
 // Acquire returns a connection to a replica: an idle one that is safe to reuse, else
-// a new one. Idle connections that it finds unsafe are closed.
+// a new one. Idle connections that it finds unsafe are closed. It returns ErrWithheld if the replica has
+// requested pauses from the instances through which it can be reached.
 // atMostOnce is set for requests that may run only once.
 func (d *Dialer) Acquire(ctx context.Context, replica *server.Replica, atMostOnce bool) (*Conn, error) {
 	for {
@@ -130,6 +132,9 @@
 		_ = c.Close()
 	}
 	raw, isRelayed, err := d.connect(ctx, replica)
+	if errors.Is(err, server.ErrWithheld) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, server.NewFault("dial", replica.ID, merry.Prepend(server.ErrUnavailable, err.Error()))
 	}
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -186,6 +186,7 @@
 	}
 	conn, err := x.dialer.Acquire(ctx, replica, request.AtMostOnce)
 	if err != nil {
+		x.recordRelayedPause(replica, err)
 		return nil, server.SendStateUnsent, err
 	}
 	var sentAt time.Time
@@ -209,6 +210,9 @@
 	}
 	info := x.codec.ParseResponse(response.StatusCode, response.Header)
 	x.recordResponse(replica, info, sentAt)
+	if info.Pause > 0 && !info.IsMisdirected {
+		conn.ReportPause(info.Pause)
+	}
 	body := &endTracker{ReadCloser: response.Body}
 	response.Body = body
 	return &Answer{
@@ -216,6 +220,15 @@
 	}, server.SendStateAnswered, nil
 }
 
+// recordRelayedPause records the pause that a replica has requested from the only instances through which this
+// one reaches it.
+func (x *Exchanger) recordRelayedPause(replica *server.Replica, err error) {
+	var fault *server.Fault
+	if x.pauses != nil && errors.Is(err, server.ErrWithheld) && errors.As(err, &fault) && fault.RetryAfter() > 0 {
+		x.pauses.RecordResponse(replica, server.ResponseInfo{Pause: fault.RetryAfter()}, time.Time{})
+	}
+}
+
 // send writes a request on a connection. It returns ErrWithheld, and closes the connection, if the request must
 // not be sent any more, and errStale if the connection was closed.
 func (x *Exchanger) send(conn *dialer.Conn, replica *server.Replica, request *Request) error {
--- a/internal/server/pauser/pauser.go
+++ b/internal/server/pauser/pauser.go
@@ -77,7 +77,7 @@
 // record records a pause that begins now. current is the last one of the replica. The caller holds mu.
 func (p *Pauser) record(replica *server.Replica, current pause, duration time.Duration, now time.Time) {
 	p.requestedCount.Add(1)
-	next := pause{startMillis: replica.StartMillis, requestedAt: now, end: now.Add(duration)}
+	next := pause{startMillis: replica.StartMillis, requestedAt: now, end: now.Add(min(duration, maxPause))}
 	if current.applies(replica) {
 		if current.end.After(next.end) {
 			next.end = current.end
--- a/internal/server/tunneler/client.go
+++ b/internal/server/tunneler/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"encoding/binary"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -75,18 +76,22 @@
 	conn   net.Conn
 	status status
 	err    error
+	// pause is the rest of the pause that the replica has requested from the helper, with statusPaused.
+	pause time.Duration
 	// isLate is set if it took longer than nextHelperDelay.
 	isLate bool
 }
 
 // DialThrough implements dialer.Tunnel. It asks one helper after the other, the next one also if the
-// last one takes long.
+// last one takes long. If the replica has requested pauses from helpers and none opens a connection, it
+// returns ErrWithheld with the shortest of them.
 func (c *Client) DialThrough(ctx context.Context, replica *server.Replica) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	helpers := c.helpers(replica)
 	answers := make(chan answer, len(helpers))
 	pending := 0
+	var pause time.Duration
 	for {
 		if len(helpers) > 0 {
 			helper := helpers[0]
@@ -101,6 +106,9 @@
 		}
 		if pending == 0 {
 			c.failedCount.Add(1)
+			if pause > 0 {
+				return nil, server.NewFault("tunnel", replica.ID, merry.Prepend(server.ErrWithheld, "the replica has requested a pause"), server.WithRetryAfter(pause))
+			}
 			return nil, server.NewFault("tunnel", replica.ID, merry.Prepend(server.ErrUnavailable, "no other instance has a path"))
 		}
 		a, ok := c.await(ctx, answers, len(helpers) > 0)
@@ -112,6 +120,9 @@
 			return nil, server.NewFault("tunnel", replica.ID, merry.Prepend(server.ErrUnavailable, context.Cause(ctx).Error()))
 		}
 		pending--
+		if a.pause > 0 && (pause == 0 || a.pause < pause) {
+			pause = a.pause
+		}
 		if isFinal, err := c.judge(ctx, a, replica); isFinal {
 			discard(answers, pending)
 			return a.conn, err
@@ -148,7 +159,7 @@
 		c.failedCount.Add(1)
 		return true, server.NewFault("tunnel", replica.ID, server.ErrReplicaUnreachable)
 	case ctx.Err() == nil:
-		if a.err != nil || a.status != statusFailed || a.isLate {
+		if a.err != nil || a.status != statusFailed && a.status != statusPaused || a.isLate {
 			c.avoid(a.helper)
 		}
 		c.log.V(1).Info("instance does not help", "helper", a.helper, "replica", replica.ID, "response", a.status.String(), "cause", errorText(a.err))
@@ -219,23 +230,45 @@
 // open asks a helper for a connection to a replica. The connection of the answer is nil unless its
 // status is statusConnected.
 func (c *Client) open(ctx context.Context, helper server.Instance, replica *server.Replica) answer {
+	conn, a := c.exchange(ctx, helper, request{Replica: replica.ID, Address: replica.Address})
+	if conn != nil {
+		conn.reportPause = func(pause time.Duration) {
+			if other, _ := c.exchange(context.Background(), helper, request{Replica: replica.ID, Address: replica.Address, PauseMillis: pause.Milliseconds()}); other != nil {
+				_ = other.Close()
+			}
+		}
+		a.conn = conn
+	}
+	return a
+}
+
+// exchange sends a request to a helper and returns its answer, with the connection if its status is
+// statusConnected.
+func (c *Client) exchange(ctx context.Context, helper server.Instance, r request) (*tunnelConn, answer) {
 	ctx, cancel := context.WithTimeout(ctx, helperTimeout)
 	defer cancel()
 	conn, err := c.dial(ctx, helper.Address)
 	if err != nil {
-		return answer{helper: helper.ID, status: statusLost, err: err}
+		return nil, answer{helper: helper.ID, status: statusLost, err: err}
 	}
 	detach := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer detach()
 	reader := bufio.NewReaderSize(conn, frameHeaderBytes+frameBytes)
-	err = writeRequest(conn, request{Replica: replica.ID, Address: replica.Address})
+	err = writeRequest(conn, r)
 	var response [1]byte
 	if err == nil {
 		_, err = io.ReadFull(reader, response[:])
 	}
-	if err != nil || status(response[0]) != statusConnected || !detach() {
+	a := answer{helper: helper.ID, status: status(response[0])}
+	if err == nil && a.status == statusPaused {
+		var rest [pauseBytes]byte
+		_, err = io.ReadFull(reader, rest[:])
+		a.pause = time.Duration(binary.BigEndian.Uint32(rest[:])) * time.Millisecond
+	}
+	if err != nil || a.status != statusConnected || !detach() {
 		_ = conn.Close()
-		return answer{helper: helper.ID, status: status(response[0]), err: cmp.Or(err, ctx.Err())}
+		a.err = cmp.Or(err, ctx.Err())
+		return nil, a
 	}
-	return answer{helper: helper.ID, conn: &tunnelConn{Conn: conn, reader: reader}, status: statusConnected}
+	return &tunnelConn{Conn: conn, reader: reader}, a
 }
--- a/internal/server/tunneler/helper.go
+++ b/internal/server/tunneler/helper.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -36,16 +38,30 @@
 	log    logr.Logger
 	dialer Dialer
 	// find returns the replica of any service with an ID.
-	find         func(id string) (server.Replica, bool)
+	find func(id string) (server.Replica, bool)
+	// pauses keeps the pauses that replicas request; nil without one.
+	pauses       server.PauseKeeper
 	active       atomic.Int64
 	isStopping   atomic.Bool
 	servedCount  atomic.Uint64
 	refusedCount atomic.Uint64
 }
 
+// HelperOption sets a property of a Helper.
+type HelperOption func(*Helper)
+
+// WithPauses has no connections passed on to replicas in their pauses.
+func WithPauses(pauses server.PauseKeeper) HelperOption {
+	return func(h *Helper) { h.pauses = pauses }
+}
+
 // NewHelper returns a Helper for the replicas that find returns by ID.
-func NewHelper(log logr.Logger, dialer Dialer, find func(id string) (server.Replica, bool)) *Helper {
-	return &Helper{log: log, dialer: dialer, find: find}
+func NewHelper(log logr.Logger, dialer Dialer, find func(id string) (server.Replica, bool), options ...HelperOption) *Helper {
+	h := &Helper{log: log, dialer: dialer, find: find}
+	for _, option := range options {
+		option(h)
+	}
+	return h
 }
 
 // BeginStop has further connections refused.
@@ -71,8 +87,12 @@
 	if err != nil {
 		return
 	}
-	upstream, response := h.connect(r)
-	if _, err := conn.Write([]byte{byte(response)}); err != nil || upstream == nil {
+	upstream, response, pause := h.connect(r)
+	answer := []byte{byte(response)}
+	if response == statusPaused {
+		answer = binary.BigEndian.AppendUint32(answer, uint32(min(pause.Milliseconds(), math.MaxUint32)))
+	}
+	if _, err := conn.Write(answer); err != nil || upstream == nil {
 		h.refusedCount.Add(1)
 		if upstream != nil {
 			_ = upstream.Close()
@@ -86,18 +106,33 @@
 	_ = upstream.Close()
 }
 
-// connect opens the connection to the replica that a request names.
-func (h *Helper) connect(r request) (net.Conn, status) {
-	if h.isStopping.Load() || h.active.Load() > maxConnections {
-		return nil, statusFull
-	}
+// connect opens the connection to the replica that a request names. pause is the rest of the replica's
+// pause if that is the reason why it does not.
+func (h *Helper) connect(r request) (conn net.Conn, response status, pause time.Duration) {
 	replica, ok := h.find(r.Replica)
-	if !ok || replica.Address != r.Address {
-		return nil, statusUnknown
+	if ok && replica.Address == r.Address && h.pauses != nil {
+		if r.PauseMillis > 0 {
+			h.pauses.RecordResponse(&replica, server.ResponseInfo{Pause: time.Duration(min(r.PauseMillis, math.MaxUint32)) * time.Millisecond}, time.Time{})
+		}
+		if pause := h.pauses.PausedFor(&replica); pause > 0 {
+			return nil, statusPaused, pause
+		}
+	}
+	switch {
+	case h.isStopping.Load() || h.active.Load() > maxConnections:
+		return nil, statusFull, 0
+	case !ok || replica.Address != r.Address:
+		return nil, statusUnknown, 0
 	}
+	conn, response = h.dial(&replica)
+	return conn, response, 0
+}
+
+// dial opens a connection to a replica.
+func (h *Helper) dial(replica *server.Replica) (net.Conn, status) {
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
-	upstream, err := h.dialer.DialFor(ctx, &replica)
+	upstream, err := h.dialer.DialFor(ctx, replica)
 	switch {
 	case err == nil:
 		return upstream, statusConnected
@@ -106,7 +141,7 @@
 	case errors.Is(err, server.ErrPathLost):
 		return nil, statusLost
 	default:
-		h.log.V(1).Info("no connection for another instance", "replica", r.Replica, "cause", err.Error())
+		h.log.V(1).Info("no connection for another instance", "replica", replica.ID, "cause", err.Error())
 		return nil, statusFailed
 	}
 }
--- a/internal/server/tunneler/tunneler.go
+++ b/internal/server/tunneler/tunneler.go
@@ -14,6 +14,7 @@
 	"errors"
 	"io"
 	"net"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -48,10 +49,16 @@
 	statusUnknown
 	// statusFailed: the helper does not reach the replica, and does not know whether it has a path.
 	statusFailed
+	// statusPaused: the replica has requested a pause from the helper. The rest of it follows, in
+	// pauseBytes bytes.
+	statusPaused
 )
 
+// pauseBytes is the size of the rest of a pause in milliseconds.
+const pauseBytes = 4
+
 // statusNames are the names in log lines, in the order of the constants.
-var statusNames = [...]string{"connected", "unreachable", "lost", "full", "unknown", "failed"}
+var statusNames = [...]string{"connected", "unreachable", "lost", "full", "unknown", "failed", "paused"}
 
 // String returns the name in log lines.
 func (s status) String() string {
@@ -65,6 +72,9 @@
 type request struct {
 	Replica string `json:"replica"`
 	Address string `json:"address"`
+	// PauseMillis is set if no connection is wanted, but the replica has requested a pause on one that
+	// the helper passes on. A helper that does not know it opens a connection, which is closed unused.
+	PauseMillis int64 `json:"pause,omitempty"`
 }
 
 // writeRequest sends a request after FirstByte.
@@ -127,8 +137,14 @@
 	// left is the number of bytes of the current frame that were not read yet.
 	left     int
 	hasEnded bool
+	// reportPause reports a pause of the replica to the helper.
+	reportPause func(pause time.Duration)
 }
 
+// ReportPause reports to the helper that the replica has requested a pause in a response on the
+// connection: for the replica, the helper is the one that it wants no requests from. It does not block.
+func (c *tunnelConn) ReportPause(pause time.Duration) { go c.reportPause(pause) }
+
 // Read implements net.Conn. It returns io.EOF only at the end that the replica has set.
 func (c *tunnelConn) Read(data []byte) (int, error) {
 	if c.hasEnded {
