caller, picker: send nothing to an upstream in a pause that it has requested

Attempts, hedges, retries, orders, their status requests and load reports went to an upstream right after its refusal, and callers were told to return after 1 s whatever it asked for. Change: the transport of all calls records pauses and withholds calls in them (sent nothing, so an order counts as not sent); the picker passes such upstreams over; callers get the time until the first one is available.

--- a/internal/server/assembler/assembler.go
+++ b/internal/server/assembler/assembler.go
@@ -26,6 +26,7 @@
 	"oriolemill.example/oriolemill/internal/server/meter"
 	"oriolemill.example/oriolemill/internal/server/operator"
 	"oriolemill.example/oriolemill/internal/server/orderer"
+	"oriolemill.example/oriolemill/internal/server/pauser"
 	"oriolemill.example/oriolemill/internal/server/peerer"
 	"oriolemill.example/oriolemill/internal/server/picker"
 	"oriolemill.example/oriolemill/internal/server/planner"
@@ -82,6 +83,7 @@
 	peerer               *peerer.Peerer
 	blocker              *blocker.Blocker
 	caller               *caller.Caller
+	pauser               *pauser.Pauser
 	eventPoller          *indexer.EventPoller
 	usesBaselinePolicies bool
 	planner              *planner.Planner
@@ -114,12 +116,14 @@
 	timer := ticker.New()
 	control := controller.New(timer, server.WithDatacentre(settings.Datacentre))
 	platform := storer.New(settings.PlatformURL)
-	upstreams := caller.New(caller.WithToken(serviceTokens(signer.New(settings.SigningKey, timer.Now), control.Snapshot)))
+	pauses := pauser.New(settings.Log, timer)
+	upstreams := caller.New(caller.WithTransport(pauses.Transport), caller.WithToken(serviceTokens(signer.New(settings.SigningKey, timer.Now), control.Snapshot)))
 	instance := &Instance{
 		timer:         timer,
 		controller:    control,
 		watcher:       watcher.New(control, platform, upstreams),
 		caller:        upstreams,
+		pauser:        pauses,
 		meter:         meter.New(),
 		table:         guarder.New(platform, timer.Now),
 		id:            settings.ID,
@@ -194,6 +198,7 @@
 	}
 	i.orderer = orderer.New(orderer.Dependencies{
 		ID: i.id, Table: i.table, Service: i.caller, Picker: policies.picker, Timer: i.timer, Snapshot: i.controller.Snapshot, RequestBlocker: i.blocker,
+		UntilAvailable: i.pauser.UntilAvailable,
 	})
 	dependencies := runner.Dependencies{
 		Picker:   policies.picker,
@@ -208,6 +213,7 @@
 		Timer:    i.timer,
 
 		RequestBlocker: i.blocker,
+		UntilAvailable: i.pauser.UntilAvailable,
 	}
 	requestRunner, err := runner.New(dependencies, i.controller.Snapshot)
 	if err != nil {
--- a/internal/server/assembler/policies.go
+++ b/internal/server/assembler/policies.go
@@ -38,7 +38,7 @@
 	index := indexer.New(indexer.DefaultBytes)
 	i.eventPoller = indexer.NewEventPoller(i.controller, index, i.caller)
 	return policies{
-		picker:   picker.New(index),
+		picker:   picker.New(index, picker.WithPauses(i.pauser.UpstreamPausedFor)),
 		admitter: admitter.New(i.timer, estimates),
 		retrier:  retries,
 		observer: observers{i.meter, estimates, retries, outliers},
--- a/internal/server/assembler/prompts.go
+++ b/internal/server/assembler/prompts.go
@@ -51,7 +51,7 @@
 	if i.peerer != nil {
 		i.peerer.SetPromptHandler(i.blocker)
 	}
-	for _, collector := range i.blocker.Collectors() {
+	for _, collector := range append(i.blocker.Collectors(), i.pauser.Collectors()...) {
 		if err := i.meter.Registry().Register(collector); err != nil {
 			return merry.Prepend(err, "register metrics")
 		}
--- a/internal/server/caller/caller.go
+++ b/internal/server/caller/caller.go
@@ -59,6 +59,13 @@
 	return func(c *Caller) { c.now = now }
 }
 
+// WithTransport wraps the transports of all calls.
+func WithTransport(wrap func(http.RoundTripper) http.RoundTripper) Option {
+	return func(c *Caller) {
+		c.client.Transport, c.singleUse.Transport = wrap(c.client.Transport), wrap(c.singleUse.Transport)
+	}
+}
+
 // New returns a Caller.
 func New(options ...Option) *Caller {
 	transport := &http.Transport{
--- a/internal/server/orderer/execution.go
+++ b/internal/server/orderer/execution.go
@@ -224,6 +224,16 @@
 	return e.orderer.dependencies.Picker.Pick(e.orderer.dependencies.Snapshot(), pickRequest, e.orderer.dependencies.Timer.Now(), e.random)
 }
 
+// noUpstream returns the error of an order for which there is no replica, with the time until one takes orders
+// if all have requested a pause.
+func (e *execution) noUpstream() error {
+	var wait time.Duration
+	if untilAvailable := e.orderer.dependencies.UntilAvailable; untilAvailable != nil {
+		wait = untilAvailable(e.orderer.dependencies.Snapshot().Upstreams(e.service.Name()))
+	}
+	return server.NewFault(e.order.claim.Operation, e.service.Name(), server.ErrNoUpstream, server.WithRetryAfter(wait))
+}
+
 // send makes one attempt. beforeSend decides right before the first byte
 // whether it may be sent.
 func (e *execution) send(ctx context.Context) phaseResult {
@@ -233,7 +243,7 @@
 	}
 	upstream := e.pickUpstream()
 	if upstream == nil {
-		return phaseResult{err: server.NewFault(e.order.claim.Operation, e.service.Name(), server.ErrNoUpstream), noRetry: true}
+		return phaseResult{err: e.noUpstream(), noRetry: true}
 	}
 	e.attemptedUpstreams = append(e.attemptedUpstreams, upstream.ID())
 	e.order.claim.Upstream = upstream.ID()
--- a/internal/server/orderer/orderer.go
+++ b/internal/server/orderer/orderer.go
@@ -27,6 +27,9 @@
 	Snapshot func() *server.Snapshot
 	// RequestBlocker knows the orders that crash replicas, whatever their key.
 	RequestBlocker server.RequestBlocker
+	// UntilAvailable returns the time until the first of a service's replicas takes orders, if all have
+	// requested a pause; zero otherwise. It is nil if none does.
+	UntilAvailable func([]*server.Upstream) time.Duration
 }
 
 // Orderer implements server.Orderer. It is safe for concurrent use.
--- a/internal/server/picker/picker.go
+++ b/internal/server/picker/picker.go
@@ -48,15 +48,31 @@
 // server.Picker.
 type Picker struct {
 	index *indexer.Indexer
+	// pausedFor returns for how long a replica wants no requests.
+	pausedFor func(*server.Upstream) time.Duration
+}
+
+// Option sets a property of a Picker.
+type Option func(*Picker)
+
+// WithPauses sets a function that returns for how long a replica wants no requests. It is not picked then.
+func WithPauses(pausedFor func(*server.Upstream) time.Duration) Option {
+	return func(p *Picker) { p.pausedFor = pausedFor }
 }
 
 // New returns a Picker; index may be nil.
-func New(index *indexer.Indexer) *Picker { return &Picker{index: index} }
+func New(index *indexer.Indexer, options ...Option) *Picker {
+	p := &Picker{index: index, pausedFor: func(*server.Upstream) time.Duration { return 0 }}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
 
 // strictness is the set of conditions that a candidate has to meet.
 type strictness uint8
 
-// Each level drops one condition of the one before. Leaving replicas, and those of another
+// Each level drops one condition of the one before. Leaving and paused replicas, and those of another
 // software version or model than requested, are never picked.
 const (
 	strict strictness = iota
@@ -123,7 +139,7 @@
 // isAllowed reports whether a replica meets the conditions of the level and has the
 // model.
 func (c *selection) isAllowed(u *server.Upstream) bool {
-	if u.IsLeaving() || (c.level < allowEjected && u.IsEjected()) {
+	if u.IsLeaving() || c.isPaused(u) || (c.level < allowEjected && u.IsEjected()) {
 		return false
 	}
 	if c.request.Version != nil && u.Version() != *c.request.Version {
@@ -136,6 +152,11 @@
 	return ok
 }
 
+// isPaused reports whether a replica has requested a pause.
+func (c *selection) isPaused(u *server.Upstream) bool {
+	return c.picker != nil && c.picker.pausedFor(u) > 0
+}
+
 // compare compares a replica with the best so far if it is allowed.
 func (c *selection) compare(u *server.Upstream) {
 	if !c.isAllowed(u) {
--- a/internal/server/runner/attempt.go
+++ b/internal/server/runner/attempt.go
@@ -42,7 +42,7 @@
 	now := parts.Timer.Now()
 	upstream := parts.Picker.Pick(c.runner.snapshot(), pickRequest, now, c.random)
 	if upstream == nil {
-		return nil, server.NewFault(stage.Name(), stage.Service(), server.ErrNoUpstream)
+		return nil, c.noUpstream(pickRequest)
 	}
 	pickRequest.AttemptedUpstreams = append(pickRequest.AttemptedUpstreams, upstream.ID())
 	c.upstreamPicked = true
@@ -62,6 +62,16 @@
 	return a, nil
 }
 
+// noUpstream returns the error of an attempt for which no upstream is left, with the time until one takes
+// requests if all have requested a pause.
+func (c *run) noUpstream(pickRequest *server.PickRequest) error {
+	var wait time.Duration
+	if untilAvailable := c.runner.dependencies.UntilAvailable; untilAvailable != nil {
+		wait = untilAvailable(c.runner.snapshot().Upstreams(pickRequest.Service))
+	}
+	return server.NewFault(pickRequest.Stage, pickRequest.Service, server.ErrNoUpstream, server.WithRetryAfter(wait))
+}
+
 // checkBlocked returns server.ErrRequestBlocked if the call, or a part of its prompt, crashes upstreams.
 func (c *run) checkBlocked(pickRequest *server.PickRequest) error {
 	wait, part := c.runner.dependencies.RequestBlocker.BlockedFor(pickRequest.Content)
--- a/internal/server/runner/call.go
+++ b/internal/server/runner/call.go
@@ -42,7 +42,7 @@
 	parts := c.runner.dependencies
 	upstream := parts.Picker.Pick(c.runner.snapshot(), pickRequest, parts.Timer.Now(), c.random)
 	if upstream == nil {
-		return server.Answer{}, server.NewFault(pickRequest.Stage, pickRequest.Service, server.ErrNoUpstream)
+		return server.Answer{}, c.noUpstream(pickRequest)
 	}
 	pickRequest.AttemptedUpstreams = append(pickRequest.AttemptedUpstreams, upstream.ID())
 	call.AttemptID = server.NewID()
--- a/internal/server/runner/runner.go
+++ b/internal/server/runner/runner.go
@@ -32,6 +32,9 @@
 	Timer    server.Timer
 	// RequestBlocker knows the parts of prompts that crash engines.
 	RequestBlocker server.RequestBlocker
+	// UntilAvailable returns the time until the first of a service's upstreams takes requests, if all have
+	// requested a pause; zero otherwise. It is nil if none does.
+	UntilAvailable func([]*server.Upstream) time.Duration
 }
 
 // Runner runs requests. It is safe for concurrent use.
