relayer: answer or refuse every request that arrives late in a planned stop

Seen: 32 of 168 requests, sent 2.2 to 3.2 s after the begin of a stop with 4 s of grace, reached a replica and were cut off without a response at its end, once-only ones among them. Cause: after the linger time requests on connections that were open before were passed on whatever time they may take, and at the end of the grace period the process ended under the requests in progress. Change: after the linger time a request is passed on only if its deadline is before the end of the stop, and refused at once otherwise. 0.2 s before the process must be done, all requests in progress are ended with a response.

--- a/internal/server/composer/stop.go
+++ b/internal/server/composer/stop.go
@@ -17,6 +17,8 @@
 	lingerTime = 2600 * time.Millisecond
 	// exitMargin is the part of the grace period that is left for the process to exit.
 	exitMargin = 500 * time.Millisecond
+	// answerMargin is the part of the rest in which the last requests get their responses.
+	answerMargin = 200 * time.Millisecond
 	// idlePollInterval is the interval of checks whether all stage work is done.
 	idlePollInterval = 50 * time.Millisecond
 )
@@ -58,7 +60,7 @@
 // instances and the store.
 func (i *Instance) beginDrain() {
 	i.isStopping.Store(true)
-	i.relayer.BeginDrain()
+	i.relayer.BeginDrain(lingerTime, i.timer.Now().Add(i.settings.Bounds.GracePeriod-exitMargin-answerMargin))
 	i.log.Info("stopping", "requests", i.relayer.ActiveRequests())
 	i.linker.AnnounceLeaving()
 	i.owner.BeginDrain()
--- a/internal/server/fronter/fronter.go
+++ b/internal/server/fronter/fronter.go
@@ -150,7 +150,7 @@
 }
 
 // Shutdown closes the socket and idle connections, and waits for requests in
-// progress until ctx ends.
+// progress until ctx ends. Connections that are left then are closed.
 func (f *Fronter) Shutdown(ctx context.Context) error {
 	f.mu.Lock()
 	f.isClosed = true
@@ -161,7 +161,13 @@
 	var group sync.WaitGroup
 	results := make(chan error, len(servers))
 	for _, s := range servers {
-		group.Go(func() { results <- s.Shutdown(ctx) })
+		group.Go(func() {
+			err := s.Shutdown(ctx)
+			if err != nil {
+				_ = s.Close()
+			}
+			results <- err
+		})
 	}
 	group.Wait()
 	close(results)
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -3,6 +3,7 @@
 package relayer
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -63,22 +64,41 @@
 // Relayer is the http.Handler for clients' requests.
 type Relayer struct {
 	Dependencies
-	draining       atomic.Bool
-	active         atomic.Int64
+	// drain is set once the instance stops.
+	drain  atomic.Pointer[drain]
+	active atomic.Int64
+	// stopped ends when the last requests must be answered.
+	stopped        context.Context
+	endRequest     context.CancelCauseFunc
 	clientTimeouts clientTimeouts
 	pauseQueue     pauseQueue
 }
 
 // New returns a Relayer with the given dependencies.
 func New(dependencies Dependencies) *Relayer {
-	return &Relayer{
+	l := &Relayer{
 		Dependencies: dependencies, clientTimeouts: clientTimeouts{longest: make(map[string]time.Duration)},
 		pauseQueue: pauseQueue{waiting: make(map[string]int)},
 	}
+	l.stopped, l.endRequest = context.WithCancelCause(context.Background())
+	return l
 }
 
-// BeginDrain marks the instance as draining: every further response closes its connection.
-func (l *Relayer) BeginDrain() { l.draining.Store(true) }
+// drain is the stop of an instance.
+type drain struct {
+	// lateAt is when clients are expected to use other instances. answerBy is when the last response must
+	// have been written.
+	lateAt, answerBy time.Time
+}
+
+// BeginDrain marks the instance as draining: every further response closes its connection. Requests that
+// are received after the linger time are refused unless they end before answerBy in any case; then all
+// requests in progress are ended with a response.
+func (l *Relayer) BeginDrain(linger time.Duration, answerBy time.Time) {
+	now := l.Timer.Now()
+	l.drain.Store(&drain{lateAt: now.Add(linger), answerBy: answerBy})
+	l.Timer.After(answerBy.Sub(now), func(time.Time) { l.endRequest(server.ErrDeadline) })
+}
 
 // ActiveRequests returns the number of requests in progress.
 func (l *Relayer) ActiveRequests() int64 { return l.active.Load() }
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -25,6 +25,9 @@
 	// streamGrace is how long a stream may continue after the client's deadline. The
 	// replica received the deadline and should end the stream itself.
 	streamGrace = 200 * time.Millisecond
+	// lateMargin is the least time between the deadline of a request that arrives late in a stop and the
+	// time by which the last response must have been written.
+	lateMargin = streamGrace + 100*time.Millisecond
 	// writeTimeout bounds a write to a client that does not read the response.
 	writeTimeout = 5 * time.Second
 	// defaultMaxBodyBytes bounds a request body if the plan sets no limit.
@@ -138,6 +141,7 @@
 
 // run handles the request until its end.
 func (f *relayedRequest) run() {
+	defer context.AfterFunc(f.stopped, func() { f.cancel(context.Cause(f.stopped)) })()
 	defer func() {
 		f.endAwaitingPause()
 		f.cancelTimeout()
@@ -146,7 +150,7 @@
 			f.results.Release()
 		}
 	}()
-	if !f.resolveRoute() || !f.readBody() || !f.checkClient() || !f.findOrigin() || !f.checkBlocked() || !f.admit() || !f.computeStages() {
+	if !f.resolveRoute() || !f.readBody() || !f.checkDrain() || !f.checkClient() || !f.findOrigin() || !f.checkBlocked() || !f.admit() || !f.computeStages() {
 		return
 	}
 	for f.attempt() {
@@ -209,6 +213,16 @@
 	return true
 }
 
+// checkDrain refuses the request if it has arrived late in the stop of this instance and may not end in time.
+// It reports whether the request goes on.
+func (f *relayedRequest) checkDrain() bool {
+	d := f.drain.Load()
+	if d == nil || f.Timer.Now().Before(d.lateAt) || f.clientDeadline.Add(lateMargin).Before(d.answerBy) {
+		return true
+	}
+	return f.refuse("this instance is stopping", minRetryAfter)
+}
+
 // checkClient ends the request if its client has disconnected by now, as is likely if the
 // request was read late. It reports whether the request goes on.
 func (f *relayedRequest) checkClient() bool {
@@ -348,7 +362,7 @@
 
 // writeHeader writes the status and the headers of the response.
 func (f *relayedRequest) writeHeader(status int) {
-	if f.draining.Load() {
+	if f.drain.Load() != nil {
 		f.w.Header().Set("Connection", "close")
 	}
 	f.setWriteDeadline()
