relayer: resume unnamed streams only at a version that the store confirms

Seen: an instance that had lost contact while a replica of version v2 came into service resumed 5 of 5 streams at v1, whatever version had begun them. Cause: the version that all replicas have had for a minute was that of the instance's own copy of the table, however old. Change: after such a request has arrived the replicas are read from the store once more; concurrent requests share a read. Without a response, or within a minute of an outage or a restore, the stream is refused. Streams whose client names the attempt were refused before too.

--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -80,6 +80,7 @@
 	relayer           *relayer.Relayer
 	fronter           *fronter.Fronter
 	meter             *meter.RelayMeter
+	maxStreamAge      time.Duration
 	self              server.Instance
 	readinessListener net.Listener
 	metricsListener   net.Listener
@@ -107,11 +108,16 @@
 	return func(i *Instance) { i.dialerOptions = append(i.dialerOptions, dialer.WithDial(dial)) }
 }
 
+// WithMaxStreamAge replaces relayer.MaxStreamAge.
+func WithMaxStreamAge(age time.Duration) Option {
+	return func(i *Instance) { i.maxStreamAge = age }
+}
+
 // New builds an instance and opens its sockets; Start begins to serve. The log is
 // written to out as JSON lines.
 func New(settings Settings, adapter Adapter, out io.Writer, options ...Option) (*Instance, error) {
 	relayMeter := meter.NewRelayMeter()
-	i := &Instance{settings: settings, store: adapter.Store, meter: relayMeter}
+	i := &Instance{settings: settings, store: adapter.Store, meter: relayMeter, maxStreamAge: relayer.MaxStreamAge}
 	for _, option := range options {
 		option(i)
 	}
@@ -155,6 +161,9 @@
 	i.relayer = relayer.New(relayer.Dependencies{
 		Log: log, Timer: timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
 		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, RequestBlocker: i.blocker, Limits: i.throttler,
+		ConfirmView: func(ctx context.Context, since time.Time) (*registrar.View, error) {
+			return i.registrar.Confirm(ctx, i.store, since)
+		}, MaxStreamAge: i.maxStreamAge,
 		Pauses: i.pauser, InstanceCount: i.linker.MemberCount, Meter: i.meter,
 	})
 	i.fronter = fronter.New(log, listeners.clients, i.relayer)
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -79,7 +79,8 @@
 	leaderWatchTimeout time.Duration
 	watchPosition      func() (index, count int)
 	// onOutageEnd is called in a goroutine of its own.
-	onOutageEnd func(server.Outage)
+	onOutageEnd  func(server.Outage)
+	confirmation confirmation
 }
 
 // Option sets a property of a Registrar.
@@ -119,6 +120,7 @@
 		instances: make(map[string]server.Instance), lastResponse: make(map[string]time.Time), stopRemovalTimer: func() {},
 		availability: newAvailability(), onOutageEnd: func(server.Outage) {},
 		hasLeader: func(string) bool { return false }, isLeader: func() bool { return false },
+		confirmation: confirmation{turn: make(chan struct{}, 1)},
 	}
 	for _, option := range options {
 		option(r)
--- a/internal/server/relayer/origin.go
+++ b/internal/server/relayer/origin.go
@@ -16,9 +16,12 @@
 	if f.route.Kind != server.RouteKindStream || f.info.LastEventID == "" {
 		return true
 	}
-	origin, ok := f.onlyOrigin()
+	var origin server.StreamOrigin
+	var ok bool
 	if f.info.ResumedID != "" {
 		origin, ok = f.Origins.Find(f.ctx, f.info.ResumedID)
+	} else {
+		origin, ok = f.onlyOrigin()
 	}
 	switch {
 	case context.Cause(f.ctx) != nil && errors.Is(context.Cause(f.ctx), context.Canceled):
@@ -35,15 +38,26 @@
 	return true
 }
 
-// maxStreamAge is how long after its first event a stream may be resumed. A client may try more than
+// MaxStreamAge is how long after its first event a stream may be resumed. A client may try more than
 // once, so its tries together may outlast the timeout of the route. pinner keeps origins as long.
-const maxStreamAge = time.Minute
+const MaxStreamAge = time.Minute
 
 // onlyOrigin returns the service and version that began the stream of a client that does not
 // name its attempt: the version that all replicas of the service have had since before the
-// stream can have begun.
+// stream can have begun. That this instance knows of no other version is not enough: it may have lost
+// contact while others already used it. So the store must confirm it.
 func (f *relayedRequest) onlyOrigin() (origin server.StreamOrigin, ok bool) {
-	version, ok := f.view.OnlyVersion(f.service, f.arrivedAt.Add(-maxStreamAge))
+	since := f.arrivedAt.Add(-f.MaxStreamAge)
+	if _, ok := f.view.OnlyVersion(f.service, since); !ok {
+		return server.StreamOrigin{}, false
+	}
+	view, err := f.ConfirmView(f.ctx, since)
+	if err != nil {
+		f.Log.Info("the only version of a service is not confirmed", "request", f.info.ID, "service", f.service, "cause", err.Error())
+		return server.StreamOrigin{}, false
+	}
+	f.view = view
+	version, ok := view.OnlyVersion(f.service, since)
 	return server.StreamOrigin{Service: f.service, Version: version}, ok
 }
 
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -52,6 +52,10 @@
 	WaitEstimator  WaitEstimator
 	Origins        server.StreamOrigins
 	RequestBlocker server.RequestBlocker
+	// ConfirmView returns a view that the store confirms, if it has had no outage since a time.
+	ConfirmView func(ctx context.Context, since time.Time) (*registrar.View, error)
+	// MaxStreamAge is MaxStreamAge unless a test needs less.
+	MaxStreamAge time.Duration
 	// Limits is nil if replicas state no limits.
 	Limits server.LimitKeeper
 	// Pauses is nil if replicas request no pauses.
