composer: build the relayer in a function of its own

The constructor of an instance was over the linter's bound of 50 statements since the relayer has more dependencies. No behaviour is changed.

--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -158,17 +158,22 @@
 		func(service string) bool {
 			return i.registrar.View().HasMixedVersions(service, timer.Now().Add(-pinner.Retention))
 		}))
-	i.relayer = relayer.New(relayer.Dependencies{
-		Log: log, Timer: timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
-		Stager: stager.New(log, timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, RequestBlocker: i.blocker, Limits: i.throttler,
+	i.relayer = i.newRelayer(adapter, upstreamExchanger, budget)
+	i.fronter = fronter.New(log, listeners.clients, i.relayer)
+	i.registerCounters()
+	return i, nil
+}
+
+// newRelayer builds the component that handles clients' requests.
+func (i *Instance) newRelayer(adapter Adapter, upstreamExchanger *exchanger.Exchanger, budget server.RetryBudget) *relayer.Relayer {
+	return relayer.New(relayer.Dependencies{
+		Log: i.log, Timer: i.timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
+		Stager: stager.New(i.log, i.timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, RequestBlocker: i.blocker, Limits: i.throttler,
 		ConfirmView: func(ctx context.Context, since time.Time) (*registrar.View, error) {
 			return i.registrar.Confirm(ctx, i.store, since)
 		}, MaxStreamAge: i.maxStreamAge,
 		Pauses: i.pauser, InstanceCount: i.linker.MemberCount, Meter: i.meter,
 	})
-	i.fronter = fronter.New(log, listeners.clients, i.relayer)
-	i.registerCounters()
-	return i, nil
 }
 
 // reportBlockedTimer logs that a function of the timer service does not return. The line is written
