exchanger, caller: give requests whose responses state no identity connections of their own

Cause: responses to stage calls, releases, the status of orders, and to requests whose client states no ID, name no request. On a kept connection one second response was taken for the next one, and all after it were shifted. Change: such a request has a connection of its own, so the first response on it can be of no other; the special case for refusals is gone.

--- a/internal/server/caller/service.go
+++ b/internal/server/caller/service.go
@@ -59,7 +59,8 @@
 	if err != nil {
 		return server.Answer{}, merry.Wrap(err)
 	}
-	response, err := c.client.Do(request)
+	// The response does not state its order, so it must be the first one on its connection.
+	response, err := c.singleUse.Do(request)
 	if err != nil {
 		return server.Answer{}, server.NewFault("status", upstream.ID(), transportError(ctx, err))
 	}
--- a/internal/server/dialer/dialer.go
+++ b/internal/server/dialer/dialer.go
@@ -131,6 +131,11 @@
 		}
 		_ = c.Close()
 	}
+	return d.Open(ctx, replica)
+}
+
+// Open returns a new connection to a replica; see Acquire for its errors.
+func (d *Dialer) Open(ctx context.Context, replica *server.Replica) (*Conn, error) {
 	raw, isRelayed, err := d.connect(ctx, replica)
 	if errors.Is(err, server.ErrWithheld) {
 		return nil, err
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -74,7 +74,8 @@
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
-	// ID is the ID that the response must have; "" accepts any.
+	// ID is the ID that the response must have. With "" nothing in a response shows to which request it
+	// belongs, so the request has a connection of its own: a replica may write a response twice, and late.
 	ID string
 	// AtMostOnce is set for requests that must run at most once.
 	AtMostOnce bool
@@ -96,6 +97,8 @@
 	// detach stops the context from closing the connection and reports whether it did
 	// so in time.
 	detach func() bool
+	// isSingleUse is set if the connection must not be used again.
+	isSingleUse bool
 }
 
 // Framing is how a response states where its body ends. Its values are those in log lines
@@ -137,17 +140,13 @@
 	default:
 	}
 	// If detach comes too late, the context is closing the connection.
-	if isDetached := a.detach(); a.body.hasEnded && isSent && isDetached && a.conn.IsReusable(a.Response) {
+	if isDetached := a.detach(); !a.isSingleUse && a.body.hasEnded && isSent && isDetached && a.conn.IsReusable(a.Response) {
 		a.dialer.Put(a.conn, a.info.IdleTimeout)
 		return
 	}
 	_ = a.conn.Close()
 }
 
-// discard has Close close the connection. Responses to calls state no ID, so if a replica wrote a refusal
-// once more, it would be taken for the response to the next call on the connection.
-func (a *Answer) discard() { a.body.hasEnded = false }
-
 // endTracker is the body of a response. It notices its end, which a reader with a limit may not
 // have reached.
 type endTracker struct {
@@ -184,7 +183,7 @@
 	if err := x.checkPause(replica); err != nil {
 		return nil, server.SendStateUnsent, err
 	}
-	conn, err := x.dialer.Acquire(ctx, replica, request.AtMostOnce)
+	conn, err := x.connect(ctx, replica, request)
 	if err != nil {
 		x.recordRelayedPause(replica, err)
 		return nil, server.SendStateUnsent, err
@@ -216,7 +215,7 @@
 	body := &endTracker{ReadCloser: response.Body}
 	response.Body = body
 	return &Answer{
-		Response: response, body: body, info: info, conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach,
+		Response: response, body: body, info: info, conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach, isSingleUse: request.ID == "",
 	}, server.SendStateAnswered, nil
 }
 
@@ -229,6 +228,14 @@
 	}
 }
 
+// connect returns a connection for a request.
+func (x *Exchanger) connect(ctx context.Context, replica *server.Replica, request *Request) (*dialer.Conn, error) {
+	if request.ID == "" {
+		return x.dialer.Open(ctx, replica)
+	}
+	return x.dialer.Acquire(ctx, replica, request.AtMostOnce)
+}
+
 // send writes a request on a connection. It returns ErrWithheld, and closes the connection, if the request must
 // not be sent any more, and errStale if the connection was closed.
 func (x *Exchanger) send(conn *dialer.Conn, replica *server.Replica, request *Request) error {
@@ -345,9 +352,6 @@
 		return nil, err
 	}
 	responseBody, err := io.ReadAll(io.LimitReader(answer.Body, maxStageResponseBytes+1))
-	if answer.info.IsRefused {
-		answer.discard()
-	}
 	answer.Close()
 	if err == nil && len(responseBody) > maxStageResponseBytes {
 		err = merry.Errorf("the response is longer than %d bytes", maxStageResponseBytes)
--- a/internal/server/exchanger/exchanger_test.go
+++ b/internal/server/exchanger/exchanger_test.go
@@ -92,3 +92,62 @@
 		}
 	}
 }
+
+// EncodeRelease implements server.Codec.
+func (fakeCodec) EncodeRelease([]string) (string, []byte, error) {
+	return "/release", []byte(`"release"`), nil
+}
+
+// TestSecondResponseIsTakenForNoOther guards against responses without an ID that are taken for those of the
+// next call, because the replica writes each of them a second time when the next request has arrived on the
+// connection.
+func TestSecondResponseIsTakenForNoOther(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				var last string
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(request.Body)
+					_, _ = io.WriteString(conn, last)
+					response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+					_, _ = io.WriteString(conn, response)
+					last = response
+				}
+			}()
+		}
+	}()
+	timer := ticker.New()
+	defer timer.Close()
+	d := dialer.New(timer)
+	defer d.Close()
+	x := exchanger.New(d, fakeCodec{})
+	replica := &server.Replica{ID: "i-1", Service: "stage", Address: listener.Addr().String()}
+	for n := range 6 {
+		id := fmt.Sprint("request-", n)
+		results, err := x.ComputePieces(t.Context(), replica, []server.Piece{{RequestID: id}})
+		is.NoErr(err)
+		is.Equal(results[0].Handle, id)
+		is.NoErr(x.ReleaseResults(t.Context(), replica, []string{id}))
+		// A client's request without an ID.
+		answer, _, err := x.Do(t.Context(), replica, &exchanger.Request{Method: http.MethodPost, Target: "/", Host: "a", Header: http.Header{}, Body: []byte(id)})
+		is.NoErr(err)
+		body, err := io.ReadAll(answer.Body)
+		is.NoErr(err)
+		is.Equal(string(body), id)
+		answer.Close()
+	}
+}
--- a/internal/server/exchanger/pause_test.go
+++ b/internal/server/exchanger/pause_test.go
@@ -28,9 +28,6 @@
 	return server.ResponseInfo{IsRefused: pause > 0, IdleTimeout: time.Minute, Pause: pause}
 }
 
-// EncodeRelease implements server.Codec.
-func (pausingCodec) EncodeRelease([]string) (string, []byte, error) { return "/release", nil, nil }
-
 // TestNothingIsSentInAPause guards against requests, stage calls and releases that reach a replica in its pause,
 // on a new connection or on a kept one, also if the pause began after they had been given a connection.
 func TestNothingIsSentInAPause(t *testing.T) {
