--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -77,6 +77,9 @@
 	// ID is the ID that the response must have. With "" nothing in a response shows to which request it
 	// belongs, so the request has a connection of its own: a replica may write a response twice, and late.
 	ID string
+	// AcceptsAny is set if the response to another request does no harm, so that a request without an ID may
+	// use a kept connection.
+	AcceptsAny bool
 	// AtMostOnce is set for requests that must run at most once.
 	AtMostOnce bool
 	// Check is called right before the request is sent, unless it is nil. If it returns an
@@ -84,6 +87,9 @@
 	Check func() error
 }
 
+// isSingleUse reports whether the request needs a connection of its own.
+func (r *Request) isSingleUse() bool { return r.ID == "" && !r.AcceptsAny }
+
 // Answer is a response whose headers were read and whose body was not. Close must be
 // called exactly once.
 type Answer struct {
@@ -215,7 +221,7 @@
 	body := &endTracker{ReadCloser: response.Body}
 	response.Body = body
 	return &Answer{
-		Response: response, body: body, info: info, conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach, isSingleUse: request.ID == "",
+		Response: response, body: body, info: info, conn: conn, dialer: x.dialer, sendResult: sendResult, detach: detach, isSingleUse: request.isSingleUse(),
 	}, server.SendStateAnswered, nil
 }
 
@@ -230,7 +236,7 @@
 
 // connect returns a connection for a request.
 func (x *Exchanger) connect(ctx context.Context, replica *server.Replica, request *Request) (*dialer.Conn, error) {
-	if request.ID == "" {
+	if request.isSingleUse() {
 		return x.dialer.Open(ctx, replica)
 	}
 	return x.dialer.Acquire(ctx, replica, request.AtMostOnce)
@@ -292,12 +298,12 @@
 	if err != nil {
 		return nil, err
 	}
-	responseBody, err := x.call(ctx, replica, path, body, func() error {
+	responseBody, err := x.call(ctx, replica, &Request{Target: path, Body: body, Check: func() error {
 		if !x.isServing(replica) {
 			return server.ErrLeaving
 		}
 		return nil
-	})
+	}})
 	if err != nil {
 		return nil, err
 	}
@@ -310,7 +316,8 @@
 	if err != nil {
 		return err
 	}
-	_, err = x.call(ctx, replica, path, body, nil)
+	// Only other releases share its connection: the replica drops results that were not released.
+	_, err = x.call(ctx, replica, &Request{Target: path, Body: body, AcceptsAny: true})
 	return err
 }
 
@@ -331,19 +338,19 @@
 	return server.NewFault("limit", replica.ID, merry.Prepend(server.ErrWithheld, "the replica states a limit"), server.WithRetryAfter(wait))
 }
 
-// call sends a POST request, after check if that is not nil, and returns the body of the
+// call sends a POST request, of which the caller sets what differs, and returns the body of the
 // response, up to maxStageResponseBytes. It returns ErrOverload if the replica refused the call,
 // ErrWithheld if it is beyond a limit that the replica states or in a pause that it has requested, ErrUnavailable for other failures of
 // the response, and errors of Do as they are. An error is ErrConnectionLost as well if the replica
 // ended the connection after the request was sent.
-func (x *Exchanger) call(ctx context.Context, replica *server.Replica, path string, body []byte, check func() error) ([]byte, error) {
+func (x *Exchanger) call(ctx context.Context, replica *server.Replica, request *Request) ([]byte, error) {
 	if err := x.checkPause(replica); err != nil {
 		return nil, err
 	}
 	if err := x.acquire(ctx, replica); err != nil {
 		return nil, err
 	}
-	request := &Request{Method: http.MethodPost, Target: path, Host: replica.Address, Header: x.codec.CallHeader(replica.ID), Body: body, Check: check}
+	request.Method, request.Host, request.Header = http.MethodPost, replica.Address, x.codec.CallHeader(replica.ID)
 	answer, sendState, err := x.Do(ctx, replica, request)
 	if err != nil {
 		if sendState != server.SendStateUnsent && ctx.Err() == nil {
