relayer: select the route by the bytes that are forwarded

Cause: the route was chosen by the decoded path, while the replica gets the path as it was sent: /dose/kiln%2F17 was handled by the idempotent route /dose/kiln/. Change: the path is read from the request line, also in absolute targets. Hosts may end with a dot.

--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -53,12 +53,14 @@
 // cancelStalled and cancel are called by timers as well.
 type relayedRequest struct {
 	*Relayer
-	w         http.ResponseWriter
-	r         *http.Request
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
-	view      *registrar.View
-	info      server.RequestInfo
+	w      http.ResponseWriter
+	r      *http.Request
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	view   *registrar.View
+	info   server.RequestInfo
+	// target is the target of the request as it is forwarded.
+	target    string
 	route     *server.Route
 	workspace *server.Workspace
 	priority  int
@@ -169,7 +171,9 @@
 	}
 	f.content.Parts = f.info.SharedParts()
 	routes := f.view.Router()
-	if f.route = routes.Route(f.r.Host, f.r.URL.Path); f.route == nil {
+	var path string
+	f.target, path = parseTarget(f.r.RequestURI)
+	if f.route = routes.Route(f.r.Host, path); f.route == nil {
 		return f.reject(http.StatusNotFound, "no route for the host and path")
 	}
 	var ok bool
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -148,12 +147,8 @@
 		forward.EngineRank = f.rank * engineRankCount / router.RankCount
 		forward.LastEventID = f.events.lastID
 	}
-	target := f.r.RequestURI
-	if !strings.HasPrefix(target, "/") {
-		target = f.r.URL.RequestURI()
-	}
 	return &exchanger.Request{
-		Method: f.r.Method, Target: target, Host: f.r.Host, Header: f.Codec.ForwardHeader(f.r.Header, forward), Body: f.body,
+		Method: f.r.Method, Target: f.target, Host: f.r.Host, Header: f.Codec.ForwardHeader(f.r.Header, forward), Body: f.body,
 		ID: f.info.ID, AtMostOnce: !f.route.IsRepeatable(),
 	}
 }
--- a/internal/server/router/router.go
+++ b/internal/server/router/router.go
@@ -42,16 +42,13 @@
 func (r *Router) Plan() *server.Plan { return r.plan }
 
 // Route returns the route of the host with the longest prefix of the path, or nil. The host
-// may have a port; case is ignored.
+// may have a port and end with a dot; case is ignored.
 func (r *Router) Route(host, path string) *server.Route {
 	host = strings.ToLower(host)
 	routes, ok := r.routesByHost[host]
 	if !ok {
-		hostname, _, found := strings.Cut(host, ":")
-		if !found {
-			return nil
-		}
-		routes = r.routesByHost[hostname]
+		hostname, _, _ := strings.Cut(host, ":")
+		routes = r.routesByHost[strings.TrimSuffix(hostname, ".")]
 	}
 	for _, route := range routes {
 		if strings.HasPrefix(path, route.Prefix) {
