--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -26,7 +26,10 @@
 	Routes     []Route
 	Backends   map[string]Backend
 	Workspaces []Workspace
-	Limits     Limits
+	// RequiresKeys is set if routes that are not public need the key of a workspace, also if there is no
+	// workspace. It need not be set with workspaces.
+	RequiresKeys bool
+	Limits       Limits
 }
 
 // Route states how requests for one host and path prefix are relayed.
--- a/internal/server/router/router.go
+++ b/internal/server/router/router.go
@@ -2,7 +2,6 @@
 package router
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -32,7 +31,11 @@
 	}
 	for i := range plan.Workspaces {
 		for _, key := range plan.Workspaces[i].Keys {
-			r.workspacesByKey[key] = &plan.Workspaces[i]
+			// A request without a key is not one with an empty key, and one of a workspace without a name
+			// would run as that of none.
+			if key != "" && plan.Workspaces[i].Name != "" {
+				r.workspacesByKey[key] = &plan.Workspaces[i]
+			}
 		}
 	}
 	return r
@@ -59,11 +62,11 @@
 }
 
 // Workspace returns the workspace of an API key, or nil if the key is unknown. ok is false if
-// the route requires a workspace and the key is unknown; public routes, and plans without
-// workspaces, require none.
+// the route requires a workspace and the key is unknown; public routes, and plans that require no keys,
+// require none.
 func (r *Router) Workspace(route *server.Route, key string) (workspace *server.Workspace, ok bool) {
 	workspace = r.workspacesByKey[key]
-	if len(r.plan.Workspaces) == 0 || route.IsPublic {
+	if !r.plan.RequiresKeys && len(r.plan.Workspaces) == 0 || route.IsPublic {
 		return workspace, true
 	}
 	return workspace, workspace != nil
@@ -94,10 +97,9 @@
 }
 
 // Service returns the service for an attempt of a client, chosen by the weights of the route.
-// Under one plan the same attempt ID always gives the same service, unless all weights are
-// zero.
+// Under one plan the same attempt ID always gives the same service. It is "" if no target has a weight.
 func Service(route *server.Route, attemptID string) string {
-	if len(route.Targets) == 1 {
+	if len(route.Targets) == 1 && route.Targets[0].Weight > 0 {
 		return route.Targets[0].Service
 	}
 	total := 0
@@ -105,7 +107,7 @@
 		total += target.Weight
 	}
 	if total <= 0 {
-		return route.Targets[rand.IntN(len(route.Targets))].Service
+		return ""
 	}
 	point := int(xxhash.Sum64String(attemptID) % uint64(total))
 	for _, target := range route.Targets {
