--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -23,6 +23,7 @@
 	"oriolemill.example/oriolemill/internal/server/blocker"
 	"oriolemill.example/oriolemill/internal/server/budgeter"
 	"oriolemill.example/oriolemill/internal/server/chooser"
+	"oriolemill.example/oriolemill/internal/server/chronicler"
 	"oriolemill.example/oriolemill/internal/server/dialer"
 	"oriolemill.example/oriolemill/internal/server/exchanger"
 	"oriolemill.example/oriolemill/internal/server/fronter"
@@ -74,6 +75,7 @@
 	throttler         *throttler.Throttler
 	pauser            *pauser.Pauser
 	verifier          *verifier.Verifier
+	chronicler        *chronicler.Chronicler
 	chooser           *chooser.Chooser
 	dialer            *dialer.Dialer
 	dialerOptions     []dialer.Option
@@ -161,6 +163,8 @@
 		func(service string) bool {
 			return i.registrar.View().HasMixedVersions(service, timer.Now().Add(-pinner.Retention))
 		}))
+	i.chronicler = chronicler.New(log, timer, adapter.Store, adapter.RowDecoder, i.registrar, settings.Tables.Replicas,
+		func() bool { return i.linker.OwnerID("versions") == i.self.ID }, chronicler.WithFirstStart(settings.IsFirstStart))
 	i.relayer = i.newRelayer(adapter, upstreamExchanger, budget)
 	i.fronter = fronter.New(log, listeners.clients, i.relayer)
 	i.registerCounters()
@@ -172,6 +176,7 @@
 	return relayer.New(relayer.Dependencies{
 		Log: i.log, Timer: i.timer, View: i.registrar.View, Codec: adapter.Codec, Chooser: i.chooser, Exchanger: upstreamExchanger,
 		Stager: stager.New(i.log, i.timer, i.submitter), Budget: budget, WaitEstimator: i.submitter, Origins: i.pinner, RequestBlocker: i.blocker, Limits: i.throttler,
+		RestorePeriods: i.chronicler.Restore,
 		ConfirmView: func(ctx context.Context, since time.Time) (*registrar.View, error) {
 			return i.registrar.Confirm(ctx, i.store, since)
 		}, MaxStreamAge: i.maxStreamAge, Incarnations: i.verifier,
--- a/internal/server/composer/membership.go
+++ b/internal/server/composer/membership.go
@@ -31,6 +31,7 @@
 		i.owner.UpdateServices(plan.Backends, view.Replicas)
 		i.linkOwners(plan)
 		if !i.wasReady.Swap(true) {
+			i.chronicler.Save()
 			i.log.Info("ready", "plan", plan.Version, "after_ms", i.timer.Now().UnixMilli()-i.self.StartMillis)
 		}
 	}
--- a/internal/server/composer/settings.go
+++ b/internal/server/composer/settings.go
@@ -17,6 +17,8 @@
 	ID string
 	// Datacentre is the name of the data centre that the instance runs in.
 	Datacentre string
+	// IsFirstStart is set if the whole deployment starts for the first time.
+	IsFirstStart bool
 	// ClientAddress is the address for client requests, and ReadinessAddress the one
 	// for the load balancer's readiness checks; both are host:port.
 	ClientAddress, ReadinessAddress string
--- a/internal/server/composer/stop.go
+++ b/internal/server/composer/stop.go
@@ -104,6 +104,7 @@
 	i.owner.Stop()
 	i.gossiper.Stop()
 	i.pinner.Close()
+	i.chronicler.Close()
 	i.blocker.Close()
 	i.throttler.Close()
 	i.linker.Stop()
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -347,6 +348,21 @@
 	return v
 }
 
+// AdoptPeriod records that all replicas of a service have had a version since an earlier time than this instance
+// has read. It changes nothing if they have others now.
+func (r *Registrar) AdoptPeriod(service, version string, since time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	view := *r.view.Load()
+	period, ok := view.onlyVersions[service]
+	if !ok || period.version != version || !since.Before(period.since) {
+		return
+	}
+	view.onlyVersions = maps.Clone(view.onlyVersions)
+	view.onlyVersions[service] = versionPeriod{version: version, since: since}
+	r.view.Store(&view)
+}
+
 // Run keeps the tables up to date with the store until ctx ends.
 func (r *Registrar) Run(ctx context.Context, store server.Store) {
 	var followers sync.WaitGroup
--- a/internal/server/registrar/view.go
+++ b/internal/server/registrar/view.go
@@ -19,6 +19,8 @@
 	services  map[string][]server.Replica
 	replicas  map[string]server.Replica
 	instances []server.Instance
+	// allReplicaIDs holds the IDs of all replicas.
+	allReplicaIDs []string
 	// onlyVersions holds the services whose replicas all have one software version.
 	onlyVersions map[string]versionPeriod
 	// mixedAt holds, by service, when its replicas were last seen with several versions.
@@ -59,6 +61,16 @@
 	return period.version, ok && !period.since.After(since)
 }
 
+// VersionPeriod returns the software version that all replicas of a service have, and since when no replica has
+// had another one; ok is false if they have several.
+func (v *View) VersionPeriod(service string) (version string, since time.Time, ok bool) {
+	period, ok := v.onlyVersions[service]
+	return period.version, period.since, ok
+}
+
+// AllReplicaIDs returns the IDs of all replicas, draining ones included, in order.
+func (v *View) AllReplicaIDs() []string { return v.allReplicaIDs }
+
 // nextVersionPeriods returns the periods of the services' versions after a change of the
 // replicas, of which draining ones count, since they still write streams.
 func nextVersionPeriods(previous map[string]versionPeriod, replicas map[string]server.Replica, now time.Time) map[string]versionPeriod {
@@ -138,6 +150,7 @@
 
 // add adds a replica unless it is draining.
 func (v *View) add(replica server.Replica) {
+	v.allReplicaIDs = append(v.allReplicaIDs, replica.ID)
 	if replica.IsDraining {
 		return
 	}
@@ -150,5 +163,6 @@
 	for _, list := range v.services {
 		slices.SortFunc(list, func(a, b server.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	slices.Sort(v.allReplicaIDs)
 	slices.SortFunc(v.instances, func(a, b server.Instance) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/internal/server/relayer/origin.go
+++ b/internal/server/relayer/origin.go
@@ -20,7 +20,8 @@
 	var ok bool
 	if f.info.ResumedID != "" {
 		origin, ok = f.Origins.Find(f.ctx, f.info.ResumedID)
-	} else {
+	}
+	if !ok {
 		origin, ok = f.onlyOrigin()
 	}
 	switch {
@@ -43,13 +44,19 @@
 const MaxStreamAge = time.Minute
 
 // onlyOrigin returns the service and version that began the stream of a client that does not
-// name its attempt: the version that all replicas of the service have had since before the
+// name its attempt, or names one that no instance knows any more: the version that all replicas of the service have had since before the
 // stream can have begun. That this instance knows of no other version is not enough: it may have lost
 // contact while others already used it. So the store must confirm it.
 func (f *relayedRequest) onlyOrigin() (origin server.StreamOrigin, ok bool) {
+	if !hasOnlyTarget(f.route) {
+		return server.StreamOrigin{}, false // another service may have begun it
+	}
 	since := f.arrivedAt.Add(-f.MaxStreamAge)
 	if _, ok := f.view.OnlyVersion(f.service, since); !ok {
-		return server.StreamOrigin{}, false
+		f.RestorePeriods(f.ctx)
+		if _, ok := f.View().OnlyVersion(f.service, since); !ok {
+			return server.StreamOrigin{}, false
+		}
 	}
 	view, err := f.ConfirmView(f.ctx, since)
 	if err != nil {
@@ -61,6 +68,17 @@
 	return server.StreamOrigin{Service: f.service, Version: version}, ok
 }
 
+// hasOnlyTarget reports whether a route leads to one service only.
+func hasOnlyTarget(route *server.Route) bool {
+	count := 0
+	for _, target := range route.Targets {
+		if target.Weight > 0 {
+			count++
+		}
+	}
+	return count == 1
+}
+
 // candidates returns the replicas of the service that may get the request by the current view:
 // once a stream has begun, those of the software version that began it, since events of two
 // versions do not fit together.
--- a/internal/server/relayer/relayer.go
+++ b/internal/server/relayer/relayer.go
@@ -52,6 +52,8 @@
 	WaitEstimator  WaitEstimator
 	Origins        server.StreamOrigins
 	RequestBlocker server.RequestBlocker
+	// RestorePeriods reads from the store since when services have had one version, for the view.
+	RestorePeriods func(ctx context.Context)
 	// ConfirmView returns a view that the store confirms, if it has had no outage since a time.
 	ConfirmView func(ctx context.Context, since time.Time) (*registrar.View, error)
 	// Incarnations is nil if the rows of replicas are never doubtful.
--- a/internal/server/relayer/verify.go
+++ b/internal/server/relayer/verify.go
@@ -15,12 +15,12 @@
 const unconfirmedVersion = "unconfirmed/"
 
 // verifyIncarnation has the replica state its start before the request is sent, if the version of its row is
-// needed: always for the rest of a stream, and for one that begins and may be resumed if the row is doubtful.
+// needed and doubtful: that of a stream which may be resumed.
 func (f *relayedRequest) verifyIncarnation(request *exchanger.Request, replica *server.Replica) {
 	if f.Incarnations == nil || f.route.Kind != server.RouteKindStream || !f.route.IsResumable {
 		return
 	}
-	request.IsDoubtful = func() bool { return f.origin != nil || f.Incarnations.IsDoubtful(replica) }
+	request.IsDoubtful = func() bool { return f.Incarnations.IsDoubtful(replica) }
 	request.Verify = func(startMillis int64, isStated bool, connectedAt time.Time) error {
 		switch {
 		case isStated && f.Incarnations.RecordStart(replica, startMillis, connectedAt):
