--- a/internal/server/fronter/fronter.go
+++ b/internal/server/fronter/fronter.go
@@ -1,6 +1,7 @@
 // Package fronter serves the HTTP connections of clients on one socket. The plan
 // sets limits on what clients may send. Limits apply to new connections; earlier
-// connections keep the limits under which they were accepted.
+// connections keep the limits under which they were accepted, and are closed after their next response if
+// headers may be longer than before.
 package fronter
 
 import (
@@ -102,13 +103,10 @@
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
 		},
-		Handler: f.handler, MaxHeaderBytes: defaultMaxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		Handler: f.handler, MaxHeaderBytes: effectiveHeaderBytes(limits), ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		// The server would log each connection that a client breaks off.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
-	if limits.MaxHeaderBytes > 0 {
-		s.MaxHeaderBytes = int(limits.MaxHeaderBytes)
-	}
 	if limits.HeaderTimeout > 0 {
 		s.ReadHeaderTimeout = limits.HeaderTimeout
 	}
@@ -116,6 +114,12 @@
 		s.IdleTimeout = limits.IdleTimeout
 	}
 	f.mu.Lock()
+	if s.MaxHeaderBytes > effectiveHeaderBytes(f.limits) {
+		// Earlier connections would refuse headers that are allowed now.
+		for _, earlier := range f.servers {
+			go earlier.SetKeepAlivesEnabled(false)
+		}
+	}
 	f.limits, f.currentListener = limits, listener
 	f.servers = append(f.servers, s)
 	f.mu.Unlock()
@@ -126,6 +130,14 @@
 	})
 }
 
+// effectiveHeaderBytes returns the bound of the headers under limits.
+func effectiveHeaderBytes(limits server.Limits) int {
+	if limits.MaxHeaderBytes > 0 {
+		return int(limits.MaxHeaderBytes)
+	}
+	return defaultMaxHeaderBytes
+}
+
 // accept passes connections to the current listener until the socket is closed.
 func (f *Fronter) accept() {
 	for {
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -65,6 +66,24 @@
 	return r.Kind == RouteKindRepeatable || r.Kind == RouteKindStream && r.IsResumable
 }
 
+// StageOrder returns the indices of the stages in an order in which each one follows those that it depends on.
+// Stages that depend on each other, or on one that does not exist, are left out.
+func (r *Route) StageOrder() []int { return StageOrder(r.Stages) }
+
+// StageOrder returns the indices of stages; see Route.StageOrder.
+func StageOrder(stages []StageSpec) []int {
+	order := make([]int, 0, len(stages))
+	for range stages {
+		for i, stage := range stages {
+			isReady := !slices.Contains(order, i) && !slices.ContainsFunc(stage.Dependencies, func(dependency int) bool { return !slices.Contains(order, dependency) })
+			if isReady {
+				order = append(order, i)
+			}
+		}
+	}
+	return order
+}
+
 // RouteTarget is one service of a route with its weight.
 type RouteTarget struct {
 	Service string
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -91,7 +91,7 @@
 		outputTokens = min(outputTokens, f.info.ExpectedTokens)
 	}
 	deadline := f.clientDeadline.Add(-time.Duration(outputTokens) * outputTokenTime)
-	if disconnectsAt := f.arrivedAt.Add(firstEventTimeout(f.route) - firstEventMargin); disconnectsAt.Before(deadline) {
+	if disconnectsAt := f.receivedAt.Add(firstEventTimeout(f.route) - firstEventMargin); disconnectsAt.Before(deadline) {
 		return disconnectsAt
 	}
 	return deadline
@@ -104,9 +104,10 @@
 func (f *relayedRequest) expectedDelay() (total, queued, age time.Duration) {
 	stages := f.route.Stages
 	ends, waits := make([]time.Duration, len(stages)), make([]time.Duration, len(stages))
-	for i, stage := range stages {
+	for _, i := range f.route.StageOrder() {
+		stage := stages[i]
 		for _, dependency := range stage.Dependencies {
-			if dependency >= 0 && dependency < i && ends[dependency] > ends[i] {
+			if ends[dependency] > ends[i] {
 				ends[i], waits[i] = ends[dependency], waits[dependency]
 			}
 		}
@@ -157,7 +158,7 @@
 // longest chain of stages that depend on it, and the engine.
 func (f *relayedRequest) delayAfter(stage int) time.Duration {
 	var longest time.Duration
-	for next := stage + 1; next < len(f.route.Stages); next++ {
+	for next := range f.route.Stages {
 		if slices.Contains(f.route.Stages[next].Dependencies, stage) {
 			longest = max(longest, f.plannedCallDuration(f.route.Stages[next].Service)+f.delayAfter(next)-f.engineDelay())
 		}
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -69,6 +69,8 @@
 	service   string
 	body      []byte
 	arrivedAt time.Time
+	// receivedAt is when the whole request was read. Its client waits for the response from then on.
+	receivedAt time.Time
 	// softDeadline is when the response, or the first event of a stream, is due to meet
 	// the goal of the route, less the time that the client waited in earlier attempts.
 	softDeadline time.Time
@@ -214,7 +216,7 @@
 	case err != nil:
 		return f.reject(http.StatusBadRequest, "the body cannot be read: "+err.Error())
 	}
-	f.body = body
+	f.body, f.receivedAt = body, f.Timer.Now()
 	f.content.Keys = f.contentKeys()
 	return true
 }
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -113,14 +114,26 @@
 
 // startStallTimer stops the running stall timer and starts one that cancels the attempt with
 // errStalled after the timeout. It starts none if the timeout is zero or no other replica may
-// continue.
+// continue: a replica that is silent for a while goes on.
 func (f *relayedRequest) startStallTimer(timeout time.Duration) {
 	f.stopStallTimer()
-	if timeout > 0 && f.route.IsRepeatable() && f.attemptCount < f.route.MaxAttempts-1 {
+	if timeout > 0 && f.route.IsRepeatable() && f.attemptCount < f.route.MaxAttempts-1 && f.hasOtherReplica() {
 		f.stopStallTimer = f.Timer.After(timeout, func(time.Time) { f.cancelStalled() })
 	}
 }
 
+// hasOtherReplica reports whether the request may be sent to another replica now.
+func (f *relayedRequest) hasOtherReplica() bool {
+	replicas := f.view.Replicas(f.service)
+	for n := range replicas {
+		r := &replicas[n]
+		if (f.origin == nil || r.Version == f.origin.Version) && !slices.Contains(f.attempted, r.ID) && f.pausedFor(r) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // firstByteTimeout returns how long the start of a response may take. It returns zero, which
 // means no bound, as long as the typical time of the service is unknown.
 func (f *relayedRequest) firstByteTimeout() time.Duration {
@@ -295,6 +308,15 @@
 	}
 }
 
+// deadlineWriter bounds each write to the client by writeTimeout.
+type deadlineWriter struct{ f *relayedRequest }
+
+// Write implements io.Writer.
+func (w deadlineWriter) Write(data []byte) (int, error) {
+	w.f.setWriteDeadline()
+	return w.f.w.Write(data)
+}
+
 // forwardLarge forwards a response of maxBufferedBytes or more; start is the part that was
 // read. No other attempt is possible after it.
 func (f *relayedRequest) forwardLarge(response *exchanger.Answer, start []byte) attemptOutcome {
@@ -310,7 +332,7 @@
 		f.checkWrite(err)
 		return attemptDisconnected
 	}
-	_, err := io.Copy(f.w, response.Body)
+	_, err := io.Copy(deadlineWriter{f}, response.Body)
 	response.Close()
 	if err != nil {
 		f.shouldAbort, f.outcome, f.reason = true, outcomeBroken, "the response ended early: "+err.Error()
--- a/internal/server/stager/stager.go
+++ b/internal/server/stager/stager.go
@@ -125,15 +125,11 @@
 	}
 }
 
-// validateStages returns ErrInvalid if a stage depends on a stage that does not come before
-// it, or if there are pieces for more stages than the route has.
+// validateStages returns ErrInvalid if stages depend on each other, or on one that does not exist, or if there
+// are pieces for more stages than the route has.
 func validateStages(request *Request) error {
-	for i, stage := range request.Stages {
-		for _, dependency := range stage.Dependencies {
-			if dependency < 0 || dependency >= i {
-				return merry.Prependf(server.ErrInvalid, "stage %d follows stage %d", i, dependency)
-			}
-		}
+	if order := server.StageOrder(request.Stages); len(order) < len(request.Stages) {
+		return merry.Prependf(server.ErrInvalid, "%d of %d stages of the route depend on each other, or on stages that do not exist", len(request.Stages)-len(order), len(request.Stages))
 	}
 	if len(request.Pieces) > len(request.Stages) {
 		return merry.Prependf(server.ErrInvalid, "pieces for %d stages, the route has %d", len(request.Pieces), len(request.Stages))
