--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -334,65 +334,6 @@
 // remaining returns the time until the client's deadline.
 func (f *relayedRequest) remaining() time.Duration { return f.clientDeadline.Sub(f.Timer.Now()) }
 
-// refuse responds that the request did not run and when to repeat it. It returns false.
-func (f *relayedRequest) refuse(reason string, wait time.Duration) bool {
-	f.w.Header().Set("Retry-After", strconv.FormatFloat(max(wait, minRetryAfter).Seconds(), 'f', 2, 64))
-	return f.respond(http.StatusServiceUnavailable, outcomeRefused, reason)
-}
-
-// reject responds that the request is invalid. It returns false.
-func (f *relayedRequest) reject(status int, reason string) bool {
-	return f.respond(status, outcomeRejected, reason)
-}
-
-// fail responds with an error that leaves open whether the request ran. It returns false.
-func (f *relayedRequest) fail(status int, reason string) bool {
-	return f.respond(status, outcomeFailed, reason)
-}
-
-// endDisconnected ends a request whose client has disconnected. It returns false.
-func (f *relayedRequest) endDisconnected(reason string) bool {
-	f.outcome, f.reason, f.shouldAbort = outcomeDisconnected, reason, true
-	return false
-}
-
-// respond writes a response of this instance. It returns false, for its callers to return.
-func (f *relayedRequest) respond(status int, outcome, reason string) bool {
-	f.outcome, f.reason, f.status = outcome, reason, status
-	header := f.w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	text := reason + "\n"
-	header.Set("Content-Length", strconv.Itoa(len(text)))
-	f.writeHeader(status)
-	_, err := io.WriteString(f.w, text)
-	f.checkWrite(err)
-	return false
-}
-
-// writeHeader writes the status and the headers of the response.
-func (f *relayedRequest) writeHeader(status int) {
-	if f.drain.Load() != nil {
-		f.w.Header().Set("Connection", "close")
-	}
-	f.setWriteDeadline()
-	f.w.WriteHeader(status)
-	f.responseStarted = true
-}
-
-// setWriteDeadline bounds the next write to the client by writeTimeout.
-func (f *relayedRequest) setWriteDeadline() {
-	// On a connection without support for deadlines, a write is bounded by the
-	// client's own timeout.
-	_ = http.NewResponseController(f.w).SetWriteDeadline(time.Now().Add(writeTimeout))
-}
-
-// checkWrite aborts the request if a write to the client failed.
-func (f *relayedRequest) checkWrite(err error) {
-	if err != nil {
-		f.outcome, f.reason, f.shouldAbort = outcomeDisconnected, "writing the response to the client failed: "+err.Error(), true
-	}
-}
-
 // logRequest writes the request's log line and records its metrics.
 func (f *relayedRequest) logRequest() {
 	duration := f.Timer.Now().Sub(f.arrivedAt)
