registrar: a replica that came and went unseen ends the only version

Change: such a replica ends the time for which a service has had one version; confirmations read changes instead of the whole table, which also costs less. Evidence: TestUnseenReplicaEndsTheOnlyVersion, three ways and a control.

--- a/internal/server/registrar/confirm.go
+++ b/internal/server/registrar/confirm.go
@@ -20,7 +20,7 @@
 	err     error
 }
 
-// Confirm reads the replicas from the store, by a call that begins no earlier than Confirm, and returns the
+// Confirm reads the changes of the replicas from the store, by a call that begins no earlier than Confirm, and returns the
 // view that has what was read. It fails if the store does not respond, or has recovered from an outage or
 // was restored from a copy after since: rows may be missing then.
 //
@@ -48,21 +48,21 @@
 	return r.view.Load(), nil
 }
 
-// readReplicas reads the table of the replicas and applies it. The call does not end with the request that
-// needs it first, since others may wait for it.
+// readReplicas reads the changes of the replicas and applies them. A replica that has come and gone is among
+// them. The call does not end with the request that needs it first, since others may wait for it.
 func (r *Registrar) readReplicas(store server.Store) error {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	table := r.tableNames.Replicas
-	rows, version, err := store.Load(ctx, table)
+	known := r.Version(table)
+	rows, version, err := store.Watch(ctx, table, known, 0)
 	if err != nil {
 		return err
 	}
-	known := r.Version(table)
 	if version < known {
 		return merry.Prepend(server.ErrUnavailable, "the store responded with older rows than known")
 	}
-	recoveredAt := r.recordResponse(table, known > 0 && server.IsEarlierEra(known, version))
-	r.Replace(table, rows, version, recoveredAt)
+	recoveredAt := r.recordResponse(table, false)
+	r.ApplyChanges(table, rows, version, recoveredAt)
 	return nil
 }
--- a/internal/server/registrar/registrar.go
+++ b/internal/server/registrar/registrar.go
@@ -66,6 +66,8 @@
 	availability availability
 	// lastResponse is when the store last responded to this instance, by table.
 	lastResponse map[string]time.Time
+	// unseenAt is when a replica may last have come and gone without being seen here.
+	unseenAt time.Time
 	// failureCount is the number of calls of this instance to the store that failed.
 	failureCount atomic.Uint64
 	// outageCount is the number of outages of the store that this instance knows of.
@@ -238,6 +240,10 @@
 		recoveredAt = time.Time{}
 	}
 	for _, row := range changedNames {
+		_, isKnown := r.replicas[row]
+		if _, isPresent := t.rows[row]; !isPresent && !isKnown {
+			t.hasUnseen = true // it has come and gone in one change
+		}
 		if !isRestored || !r.isOutdated(name, row, t) {
 			r.applyRow(name, row, t, recoveredAt)
 		}
@@ -245,7 +251,11 @@
 	if isRestored && name == TableInstances {
 		r.timer.After(restoredInstanceGrace, func(time.Time) { go r.removeUnlistedInstances() })
 	}
-	if len(changedNames) == 0 && t.isLoaded == wasLoaded {
+	hasUnseen := t.hasUnseen && name == r.tableNames.Replicas
+	if t.hasUnseen = false; hasUnseen {
+		r.unseenAt = r.timer.Now()
+	}
+	if len(changedNames) == 0 && t.isLoaded == wasLoaded && !hasUnseen {
 		r.mu.Unlock()
 		return
 	}
@@ -343,6 +353,11 @@
 	v.sort()
 	previous := r.view.Load()
 	v.onlyVersions = nextVersionPeriods(previous.onlyVersions, r.replicas, v.createdAt)
+	for service, period := range v.onlyVersions {
+		if period.since.Before(r.unseenAt) {
+			v.onlyVersions[service] = versionPeriod{version: period.version, since: r.unseenAt}
+		}
+	}
 	v.mixedAt = nextMixedTimes(previous.mixedAt, v.onlyVersions, r.replicas, v.createdAt)
 	r.view.Store(v)
 	return v
@@ -354,6 +369,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	view := *r.view.Load()
+	if since.Before(r.unseenAt) {
+		since = r.unseenAt
+	}
 	period, ok := view.onlyVersions[service]
 	if !ok || period.version != version || !since.Before(period.since) {
 		return
--- a/internal/server/registrar/registrar_test.go
+++ b/internal/server/registrar/registrar_test.go
@@ -311,3 +311,36 @@
 		is.True(f.watchCount >= 30 && f.watchCount <= 120) // three tables with about one call a second each
 	})
 }
+
+// TestUnseenReplicaEndsTheOnlyVersion guards against a version that counts as the only one although a replica,
+// which may have had another one, has come and gone without being seen.
+func TestUnseenReplicaEndsTheOnlyVersion(t *testing.T) {
+	for name, change := range map[string]func(r *registrar.Registrar){
+		"in one change": func(r *registrar.Registrar) {
+			r.ApplyChanges("servers", []server.StoredRow{row("i-9", "replica b 1:9 100 1 ready v2", 13), deletedRow("i-9", 14)}, 14, time.Time{})
+		},
+		"only its end": func(r *registrar.Registrar) {
+			r.ApplyChanges("servers", []server.StoredRow{deletedRow("i-9", 14)}, 14, time.Time{})
+		},
+		"between two tables": func(r *registrar.Registrar) {
+			r.Replace("servers", []server.StoredRow{row("i-2", "replica b 1:2 100 1 ready v1", 12)}, 14, time.Time{})
+		},
+		"nothing (the control)": func(r *registrar.Registrar) { r.ApplyChanges("servers", nil, 14, time.Time{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, is := newLoadedRegistrar(t)
+				r.ApplyChanges("servers", []server.StoredRow{row("i-2", "replica b 1:2 100 1 ready v1", 12)}, 12, time.Time{})
+				r.AdoptPeriod("b", "v1", time.Time{})
+				_, ok := r.View().OnlyVersion("b", time.Time{})
+				is.True(ok)
+				time.Sleep(time.Second)
+				change(r)
+				_, ok = r.View().OnlyVersion("b", time.Now().Add(-time.Millisecond))
+				is.Equal(ok, name == "nothing (the control)")
+				_, ok = r.View().OnlyVersion("b", time.Now())
+				is.True(ok)
+			})
+		})
+	}
+}
--- a/internal/server/registrar/table.go
+++ b/internal/server/registrar/table.go
@@ -20,6 +20,8 @@
 	loadedVersion uint64
 	// recoveredAt belongs to the newest changes; see Registrar.ApplyChanges.
 	recoveredAt time.Time
+	// hasUnseen is set when a row may have been written and deleted without being seen here.
+	hasUnseen bool
 }
 
 func newTable() *table {
@@ -37,6 +39,7 @@
 	}
 	if row.IsDeleted {
 		_, exists := t.rows[row.Name]
+		t.hasUnseen = t.hasUnseen || !exists
 		delete(t.rows, row.Name)
 		t.tombstones[row.Name] = row.Version
 		return exists
@@ -73,6 +76,8 @@
 	}
 	if !t.isLoaded {
 		t.isLoaded, t.loadedVersion = true, version
+	} else if version > t.version {
+		t.hasUnseen = true // rows may have come and gone between the two versions
 	}
 	return t.applyChanges(rows, version)
 }
