composer: give requests most of a short grace period

With a grace period of 1 s, callers whose responses took 300 ms of a planned stop got 504. Cause: reserved 200 ms for the last responses whatever the period is, which is 40 % of the 500 ms that remain before the exit margin. Change: at most a fifth of the rest is reserved. Periods of 1.5 s or more, so all deployments known, keep 200 ms.

--- a/internal/server/composer/stop.go
+++ b/internal/server/composer/stop.go
@@ -17,8 +17,10 @@
 	lingerTime = 2600 * time.Millisecond
 	// exitMargin is the part of the grace period that is left for the process to exit.
 	exitMargin = 500 * time.Millisecond
-	// answerMargin is the part of the rest in which the last requests get their responses.
+	// answerMargin is the part of the rest in which the last requests get their responses; it is at most
+	// 1/answerShare of the rest.
 	answerMargin = 200 * time.Millisecond
+	answerShare  = 5
 	// idlePollInterval is the interval of checks whether all stage work is done.
 	idlePollInterval = 50 * time.Millisecond
 )
@@ -60,7 +62,7 @@
 // instances and the store.
 func (i *Instance) beginDrain() {
 	i.isStopping.Store(true)
-	i.relayer.BeginDrain(lingerTime, i.timer.Now().Add(i.settings.Bounds.GracePeriod-exitMargin-answerMargin))
+	i.relayer.BeginDrain(lingerTime, i.timer.Now().Add(workTime(i.settings.Bounds.GracePeriod)))
 	i.log.Info("stopping", "requests", i.relayer.ActiveRequests())
 	i.linker.AnnounceLeaving()
 	i.owner.BeginDrain()
@@ -74,6 +76,12 @@
 	})
 }
 
+// workTime returns how long after the begin of the stop requests may still be processed.
+func workTime(gracePeriod time.Duration) time.Duration {
+	rest := max(gracePeriod-exitMargin, 0)
+	return rest - min(answerMargin, rest/answerShare)
+}
+
 // waitForStageWork returns when the stage work that this instance owns is done.
 func (i *Instance) waitForStageWork(ctx context.Context) error {
 	for !i.owner.IsIdle() {
