exchanger: keep a connection whose request was sent though its sender returns late

A connection was closed after a complete exchange if the goroutine that sends the request had not returned yet when the response was read; the next request then needed a new one. Cause: Close of an answer looked once, without waiting, whether the request was sent. A response of a fast replica may be read before that goroutine runs on. Change: Close waits for the end of the send, 20 ms at most.

--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -18,6 +18,9 @@
 // maxStageResponseBytes bounds the response to a stage call.
 const maxStageResponseBytes = 512 << 10
 
+// sendTimeout bounds the wait for the end of a send whose response is complete.
+const sendTimeout = 20 * time.Millisecond
+
 // Exchanger sends requests over pooled connections. It is safe for concurrent use.
 type Exchanger struct {
 	dialer *dialer.Dialer
@@ -144,20 +147,22 @@
 // Close ends the exchange. The connection returns to the pool only if the body was read to
 // its end and the whole request was sent.
 func (a *Answer) Close() {
-	isSent := false
-	select {
-	case err := <-a.sendResult:
-		isSent = err == nil
-	default:
-	}
 	// If detach comes too late, the context is closing the connection.
-	if isDetached := a.detach(); !a.isSingleUse && a.body.hasEnded && isSent && isDetached && a.conn.IsReusable(a.Response) {
+	isDetached := a.detach()
+	if !a.isSingleUse && a.body.hasEnded && isDetached && a.conn.IsReusable(a.Response) && a.isSent() {
 		a.dialer.Put(a.conn, a.info.IdleTimeout)
 		return
 	}
 	_ = a.conn.Close()
 }
 
+// isSent reports whether the whole request was sent. A response may be read before the goroutine that sends
+// the request has returned, so this waits for it, but not for a replica that responds without reading.
+func (a *Answer) isSent() bool {
+	_ = a.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
+	return <-a.sendResult == nil
+}
+
 // endTracker is the body of a response. It notices its end, which a reader with a limit may not
 // have reached.
 type endTracker struct {
