relayer: confirm the version at which a stream begins by a later statement

Clients got the events of two software versions in one stream. Cause: an instance without a connection to a replica that starts again under an old row notices nothing, and took the version of the row for the first stream there; and the rest of a stream went on at a replica whose report did not arrive in time, if nothing else spoke against its row. TestStreamBegunAtAnUnnoticedRestartGoesOnNowhere (4 of 12 cases) and TestStreamDoesNotGoOnAtAReplicaThatReportsTooLate fail before. Known red TestStreamIsNotResumedAtARestartedReplica had the first cause. Change: unless a replica has stated its start since a connection was opened, it is asked beside the stream that begins on it; a statement that equals the row holds for all connections opened between the two. The first event waits for it, 400 ms at most. A replica that does not answer gets no rest of a stream.

--- a/internal/server/dialer/conn.go
+++ b/internal/server/dialer/conn.go
@@ -39,6 +39,7 @@
 	isReused    bool
 	// isRelayed is set if the connection leads through another instance.
 	isRelayed bool
+	openedAt  time.Time
 	idleSince time.Time
 	// idleTTL is how long the connection may stay idle.
 	idleTTL time.Duration
@@ -58,6 +59,9 @@
 // IsReused reports whether the connection has carried a request before.
 func (c *Conn) IsReused() bool { return c.isReused }
 
+// OpenedAt returns when the connection was open for the first time.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 // MarkUsed has the connection count as one that has carried a request before.
 func (c *Conn) MarkUsed() { c.isReused = true }
 
--- a/internal/server/dialer/dialer.go
+++ b/internal/server/dialer/dialer.go
@@ -166,7 +166,7 @@
 	limiter := &headLimiter{Conn: raw}
 	return &Conn{
 		Conn: raw, reader: bufio.NewReaderSize(limiter, bufferBytes), headLimiter: limiter, replicaID: replica.ID,
-		startMillis: replica.StartMillis, address: replica.Address, isRelayed: isRelayed,
+		startMillis: replica.StartMillis, address: replica.Address, isRelayed: isRelayed, openedAt: d.timer.Now(),
 	}
 }
 
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -86,10 +86,13 @@
 	// AtMostOnce is set for requests that must run at most once.
 	AtMostOnce bool
 	// IsDoubtful, unless it is nil, reports whether the replica must state its start before the request is sent
-	// on the same connection. Verify is then called with the start, if the replica states one, and when the
-	// connection was opened. If it returns an error, the request is withheld.
+	// on the same connection. Verify is then called with what it states. If it returns an error, the request is
+	// withheld.
 	IsDoubtful func() bool
-	Verify     func(startMillis int64, isStated bool, connectedAt time.Time) error
+	Verify     func(statement server.Statement) error
+	// OnUnverified is called before the request is sent on a connection on which the replica was not asked,
+	// unless it is nil. openedAt is when the connection was opened.
+	OnUnverified func(openedAt time.Time)
 	// Check is called right before the request is sent, unless it is nil. If it returns an
 	// error, the request is withheld and Do returns server.ErrWithheld.
 	Check func() error
@@ -246,19 +249,28 @@
 
 // connect returns a connection for a request.
 func (x *Exchanger) connect(ctx context.Context, replica *server.Replica, request *Request) (*dialer.Conn, error) {
-	switch {
-	case request.IsDoubtful != nil && request.IsDoubtful():
+	if request.IsDoubtful != nil && request.IsDoubtful() {
+		return x.connectVerified(ctx, replica, request)
+	}
+	var conn *dialer.Conn
+	var err error
+	if request.isSingleUse() {
+		conn, err = x.dialer.Open(ctx, replica)
+	} else {
+		conn, err = x.dialer.Acquire(ctx, replica, request.AtMostOnce)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if request.IsDoubtful != nil && request.IsDoubtful() {
+		// A kept connection turned out to be closed.
+		_ = conn.Close()
 		return x.connectVerified(ctx, replica, request)
-	case request.isSingleUse():
-		return x.dialer.Open(ctx, replica)
 	}
-	conn, err := x.dialer.Acquire(ctx, replica, request.AtMostOnce)
-	if err != nil || request.IsDoubtful == nil || !request.IsDoubtful() {
-		return conn, err
+	if request.OnUnverified != nil {
+		request.OnUnverified(conn.OpenedAt())
 	}
-	// A kept connection turned out to be closed.
-	_ = conn.Close()
-	return x.connectVerified(ctx, replica, request)
+	return conn, nil
 }
 
 // send writes a request on a connection. It returns ErrWithheld, and closes the connection, if the request must
--- a/internal/server/exchanger/verify.go
+++ b/internal/server/exchanger/verify.go
@@ -20,17 +20,16 @@
 // the connection breaks, so a request on it reaches the process that made the statement, or none. If the
 // replica states nothing and the request is sent all the same, it has a connection of its own.
 func (x *Exchanger) connectVerified(ctx context.Context, replica *server.Replica, request *Request) (*dialer.Conn, error) {
-	connectedAt := x.timer.Now()
 	conn, err := x.dialer.Open(ctx, replica)
 	if err != nil {
 		return nil, err
 	}
-	startMillis, isStated := x.readReport(ctx, conn, replica)
-	if err := request.Verify(startMillis, isStated, connectedAt); err != nil {
+	statement, _, isReusable := x.readStatement(ctx, conn, replica)
+	if err := request.Verify(statement); err != nil {
 		_ = conn.Close()
 		return nil, server.NewFault("verify", replica.ID, merry.Prepend(server.ErrWithheld, err.Error()))
 	}
-	if isStated {
+	if statement.IsStated && isReusable {
 		conn.MarkUsed()
 		return conn, nil
 	}
@@ -38,32 +37,57 @@
 	return x.dialer.Open(ctx, replica)
 }
 
-// readReport reads the report of a replica. isStated is false if it does not state the start of the replica, or
-// the connection cannot be used after it.
-func (x *Exchanger) readReport(ctx context.Context, conn *dialer.Conn, replica *server.Replica) (startMillis int64, isStated bool) {
-	sentAt := x.timer.Now()
+// AskStart asks a replica for its start. What it returns is empty if the replica does not answer in time, or
+// wants no requests now.
+func (x *Exchanger) AskStart(ctx context.Context, replica *server.Replica) server.Statement {
+	if x.checkPause(replica) != nil {
+		return server.Statement{}
+	}
+	conn, err := x.dialer.Open(ctx, replica)
+	if err != nil {
+		return server.Statement{}
+	}
+	statement, info, isReusable := x.readStatement(ctx, conn, replica)
+	if isReusable {
+		x.dialer.Put(conn, info.IdleTimeout)
+	} else {
+		_ = conn.Close()
+	}
+	return statement
+}
+
+// readStatement asks for the start of a replica on a new connection. isReusable is false if the connection
+// cannot be used after it.
+func (x *Exchanger) readStatement(ctx context.Context, conn *dialer.Conn, replica *server.Replica) (statement server.Statement, info server.ResponseInfo, isReusable bool) {
+	statement.AskedAt = x.timer.Now()
 	detach := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer detach()
 	stop := x.timer.After(reportTimeout, func(time.Time) { _ = conn.Close() })
 	defer stop()
 	header := http.Header(x.codec.CallHeader(replica.ID))
 	header.Del("Content-Type")
 	if conn.WriteRequest(http.MethodGet, x.codec.ReportPath(), replica.Address, header, nil) != nil {
-		return 0, false
+		return statement, info, false
 	}
 	response, err := conn.ReadResponse(http.MethodGet, "", func(*http.Response) string { return "" })
 	if err != nil {
-		return 0, false
+		return statement, info, false
 	}
-	info := x.codec.ParseResponse(response.StatusCode, response.Header)
-	x.recordResponse(replica, info, sentAt)
+	info = x.codec.ParseResponse(response.StatusCode, response.Header)
+	x.recordResponse(replica, info, statement.AskedAt)
+	if info.IsMisdirected {
+		return statement, info, false
+	}
+	statement.IsAnswered = true
 	if response.StatusCode != http.StatusOK || !isJSON(response.Header) {
-		return 0, false
+		return statement, info, false
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxStageResponseBytes))
-	if err != nil || !conn.IsReusable(response) || !detach() {
-		return 0, false
+	if err != nil {
+		return statement, info, false
 	}
-	return x.codec.DecodeReport(body)
+	statement.StartMillis, statement.IsStated = x.codec.DecodeReport(body)
+	return statement, info, conn.IsReusable(response) && detach()
 }
 
 // isJSON reports whether a response states that it is JSON, or states nothing.
--- a/internal/server/keeper.go
+++ b/internal/server/keeper.go
@@ -70,7 +70,20 @@
 	IsDoubtful(replica *Replica) bool
 	// RecordBreak records that a connection to a replica broke, or could not be opened.
 	RecordBreak(replica *Replica)
-	// RecordStart records the start that a replica states on a connection that was opened at connectedAt. It
-	// reports whether that is the one of its row.
-	RecordStart(replica *Replica, startMillis int64, connectedAt time.Time) bool
+	// RecordStart records the start that a replica states when it is asked at askedAt. It reports whether that
+	// is the one of its row.
+	RecordStart(replica *Replica, startMillis int64, askedAt time.Time) bool
+	// IsConfirmed reports whether a connection that was opened at openedAt, when the row was known, leads to
+	// the incarnation of the row. That is so if the replica has stated that start later: one that starts again
+	// never states an earlier start.
+	IsConfirmed(replica *Replica, openedAt time.Time) bool
+}
+
+// Statement is what a replica states of its incarnation when it is asked.
+type Statement struct {
+	// IsAnswered is set if the replica has answered, IsStated if the answer states StartMillis, its start.
+	IsAnswered, IsStated bool
+	StartMillis          int64
+	// AskedAt is when it was asked.
+	AskedAt time.Time
 }
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -109,6 +109,8 @@
 	reason      string
 	// replica and version are those of the last attempt.
 	replica, version string
+	// confirmVersion sets version to one that is certain; it waits if the replica was asked beside the request.
+	confirmVersion func()
 	// origin is what began the stream whose events the client has; nil without any.
 	origin *server.StreamOrigin
 	// isWithheld is set if the last attempt was withheld.
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -61,7 +61,7 @@
 	defer f.stopStallTimer()
 	request := f.upstreamRequest(replica)
 	request.Check = func() error { return f.checkSend(replica) }
-	f.verifyIncarnation(request, replica)
+	f.verifyIncarnation(ctx, request, replica)
 	f.framing, f.pause, f.isWithheld = "", 0, false
 	response, sendState, err := f.Exchanger.Do(ctx, replica, request)
 	if sendState != server.SendStateUnsent {
--- a/internal/server/relayer/stream.go
+++ b/internal/server/relayer/stream.go
@@ -57,6 +57,7 @@
 // forwardEvents writes complete events to the client and reports whether that succeeded.
 func (f *relayedRequest) forwardEvents(response *exchanger.Answer, events []byte) bool {
 	if !f.responseStarted {
+		f.confirmVersion()
 		f.firstByteDelay = f.Timer.Now().Sub(f.arrivedAt)
 		f.copyHeader(f.Codec.ClientHeader(response.Header))
 		f.w.Header().Del("Content-Length")
--- a/internal/server/relayer/verify.go
+++ b/internal/server/relayer/verify.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -14,28 +15,46 @@
 // the known row. No row has such a version, so a stream that begins there is resumed nowhere else.
 const unconfirmedVersion = "unconfirmed/"
 
-// verifyIncarnation has the replica state its start before the request is sent, if the version of its row is
-// needed: for the rest of a stream, and for one that begins and may be resumed if the row is doubtful.
-func (f *relayedRequest) verifyIncarnation(request *exchanger.Request, replica *server.Replica) {
+// verifyIncarnation has the replica state its start if the version of its row is needed: before the request is
+// sent, for the rest of a stream, and for one that begins and may be resumed if the row is doubtful; beside the
+// request, for one that begins and may be resumed otherwise.
+func (f *relayedRequest) verifyIncarnation(ctx context.Context, request *exchanger.Request, replica *server.Replica) {
+	f.confirmVersion = func() {}
 	if f.Incarnations == nil || f.route.Kind != server.RouteKindStream || !f.route.IsResumable {
 		return
 	}
 	request.IsDoubtful = func() bool { return f.origin != nil || f.Incarnations.IsDoubtful(replica) }
-	request.Verify = func(startMillis int64, isStated bool, connectedAt time.Time) error {
-		switch {
-		case isStated && f.Incarnations.RecordStart(replica, startMillis, connectedAt):
-			return nil
-		case f.origin != nil && !isStated && !f.Incarnations.IsDoubtful(replica):
-			return nil // nothing speaks against its row
-		case f.origin != nil:
+	request.Verify = func(statement server.Statement) error {
+		version := f.statedVersion(replica, statement)
+		if f.origin != nil && version != replica.Version {
 			return merry.New("the replica has started again, or does not state when it started")
-		default:
-			f.version = unconfirmedVersion + replica.ID + "/" + strconv.FormatInt(startMillis, 10)
-			if !isStated {
-				f.version = unconfirmedVersion + f.info.ID
-			}
-			return nil
 		}
+		f.version = version
+		return nil
+	}
+	request.OnUnverified = func(openedAt time.Time) {
+		if f.Incarnations.IsConfirmed(replica, openedAt) {
+			return
+		}
+		statement := make(chan server.Statement, 1)
+		go func() { statement <- f.Exchanger.AskStart(ctx, replica) }()
+		f.confirmVersion = func() { f.version = f.statedVersion(replica, <-statement) }
+	}
+}
+
+// statedVersion returns the software version that is certain by what a replica states: that of its row, or one
+// that no row has.
+func (f *relayedRequest) statedVersion(replica *server.Replica, statement server.Statement) string {
+	switch {
+	case statement.IsStated && f.Incarnations.RecordStart(replica, statement.StartMillis, statement.AskedAt):
+		return replica.Version
+	case statement.IsStated:
+		f.Incarnations.RecordBreak(replica)
+		return unconfirmedVersion + replica.ID + "/" + strconv.FormatInt(statement.StartMillis, 10)
+	case statement.IsAnswered && !f.Incarnations.IsDoubtful(replica):
+		return replica.Version // it states no starts, and nothing speaks against its row
+	default:
+		return unconfirmedVersion + f.info.ID
 	}
 }
 
--- a/internal/server/verifier/verifier.go
+++ b/internal/server/verifier/verifier.go
@@ -28,8 +28,8 @@
 // knowledge is what is known of one incarnation of a replica.
 type knowledge struct {
 	startMillis int64
-	// brokenAt is when a connection to it last broke, and confirmedAt when it last stated its start on a
-	// connection that was opened then.
+	// brokenAt is when a connection to it last broke, and confirmedAt when it was last asked for its start and
+	// stated it.
 	brokenAt, confirmedAt time.Time
 }
 
@@ -74,7 +74,7 @@
 }
 
 // RecordStart implements server.IncarnationVerifier.
-func (v *Verifier) RecordStart(replica *server.Replica, startMillis int64, connectedAt time.Time) bool {
+func (v *Verifier) RecordStart(replica *server.Replica, startMillis int64, askedAt time.Time) bool {
 	if startMillis != replica.StartMillis {
 		v.refutedCount.Add(1)
 		return false
@@ -83,13 +83,20 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	k := v.lookup(replica)
-	if connectedAt.After(k.confirmedAt) {
-		k.confirmedAt = connectedAt
+	if askedAt.After(k.confirmedAt) {
+		k.confirmedAt = askedAt
 	}
 	v.known[replica.ID] = k
 	return true
 }
 
+// IsConfirmed implements server.IncarnationVerifier.
+func (v *Verifier) IsConfirmed(replica *server.Replica, openedAt time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.lookup(replica).confirmedAt.Before(openedAt)
+}
+
 // Counts returns how often a replica has confirmed its known start, and how often it stated another one.
 func (v *Verifier) Counts() (confirmed, refuted uint64) {
 	return v.confirmedCount.Load(), v.refutedCount.Load()
