blocker: count only crashes, and only under requests that ran at the crash

Requests that had crashed nothing were refused with 503, "crashed replicas", for two minutes. Causes: a broken connection counted as a crash of its replica though that went on; and attempts that began after a crash counted too, if something in front of the replica still accepted connections for it. Change: before a block, replicas are asked for their start, and one that states the same start has not crashed. What begins at an incarnation that has ended another attempt counts only after a response of it, or 2 s later; reports of other instances count for 50 ms. Crashes under a request that follow within 2 s of a connection that broke elsewhere may be missed by instances that the replica has not answered since.

--- a/internal/server/assembler/prompts_test.go
+++ b/internal/server/assembler/prompts_test.go
@@ -21,7 +21,7 @@
 	instances := startLinkedInstances(t, environment, deployment.Datacentres()[0].Name())
 	parts := []string{"bad"}
 	for i := range 6 {
-		instances[fmt.Sprintf("j-%d", i%3)].Blocker().RecordCrash("engines", fmt.Sprintf("engine-%d", i), server.RequestContent{Parts: parts})
+		instances[fmt.Sprintf("j-%d", i%3)].Blocker().RecordCrash("engines", fmt.Sprintf("engine-%d", i), server.RequestContent{Parts: parts}, time.Time{})
 	}
 	instances["j-0"].Blocker().RecordCompletion("engines", server.RequestContent{Parts: []string{"good"}})
 	for _, instance := range instances {
--- a/internal/server/batcher/call.go
+++ b/internal/server/batcher/call.go
@@ -10,6 +10,7 @@
 	replica          *trackedReplica
 	pieces           []*queuedPiece
 	expectedDuration time.Duration
+	startedAt        time.Time
 }
 
 // oldestEnqueuedAt returns when the oldest task of the call was queued.
@@ -49,7 +50,7 @@
 	b.activeCalls++
 	b.freeAt = now.Add(duration)
 	b.needsProbe = false
-	return &call{replica: b, pieces: pieces, expectedDuration: duration}
+	return &call{replica: b, pieces: pieces, expectedDuration: duration, startedAt: now}
 }
 
 // dropFinished removes the pieces of finished tasks from a call that was not sent yet, and
--- a/internal/server/batcher/calls.go
+++ b/internal/server/batcher/calls.go
@@ -11,7 +11,7 @@
 
 // runCall makes one call to a replica and handles its results or its error. A call
 // that takes much longer than expected is cancelled.
-func (o *Owner) runCall(s *ownedService, c *call, startedAt time.Time) {
+func (o *Owner) runCall(s *ownedService, c *call) {
 	pieces := o.wantedPieces(s, c)
 	if len(pieces) == 0 {
 		return
@@ -27,14 +27,17 @@
 	now := o.timer.Now()
 	s.queue.finishCall(c)
 	o.log.Info("stage call finished", "service", s.name, "replica", c.replica.ID, "datacentre", c.replica.Datacentre, "pieces", len(c.pieces),
-		"first_request", c.pieces[0].task.RequestID, "oldest_ms", startedAt.Sub(c.oldestEnqueuedAt()).Milliseconds(), "took_ms", now.Sub(startedAt).Milliseconds(),
+		"first_request", c.pieces[0].task.RequestID, "oldest_ms", c.startedAt.Sub(c.oldestEnqueuedAt()).Milliseconds(), "took_ms", now.Sub(c.startedAt).Milliseconds(),
 		"span_ms", c.expectedDuration.Milliseconds(), "waiting", s.queue.length, "used", c.replica.usedMemory, "room", s.queue.batch.ResultMemory, "ok", err == nil)
 	if err != nil {
 		o.handleCallError(s, c, err, timedOut, now)
 	} else {
 		c.replica.consecutiveFailures = 0
-		c.replica.recordDuration(now.Sub(startedAt), s.queue.batch.CallDuration(len(c.pieces)), now)
-		s.queue.recordDuration(now.Sub(startedAt))
+		if o.blocker != nil {
+			o.blocker.RecordServing(c.replica.Incarnation(), c.startedAt)
+		}
+		c.replica.recordDuration(now.Sub(c.startedAt), s.queue.batch.CallDuration(len(c.pieces)), now)
+		s.queue.recordDuration(now.Sub(c.startedAt))
 		o.handleResults(s, c, results, now)
 		if o.draining {
 			o.transferLateResults(s, c, results, now)
@@ -178,7 +181,7 @@
 	for _, t := range tasks {
 		t.isSuspect = true
 		if o.blocker != nil && t.Content != "" {
-			o.blocker.RecordCrash(s.name, c.replica.Incarnation(), t.content())
+			o.blocker.RecordCrash(s.name, c.replica.Incarnation(), t.content(), c.startedAt)
 		}
 	}
 }
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -317,7 +317,7 @@
 		}
 		o.counts.Calls++
 		o.counts.Pieces += uint64(len(c.pieces))
-		o.wg.Go(func() { o.runCall(s, c, now) })
+		o.wg.Go(func() { o.runCall(s, c) })
 	}
 	o.scheduleDispatch(s, now)
 }
--- a/internal/server/blocker/blocker.go
+++ b/internal/server/blocker/blocker.go
@@ -59,6 +59,10 @@
 	messages   sync.WaitGroup
 	stopSpread func()
 	crashCount atomic.Uint64
+	// refutedCount is the number of incarnations that were suspected to have crashed and had not.
+	refutedCount atomic.Uint64
+	// endingCount is the number of evidence.endings, so that responses need no lock while there are none.
+	endingCount atomic.Int64
 	// blockedCount is the number of requests that were found to be blocked.
 	blockedCount atomic.Uint64
 	// blockCount is the number of entries of blocks, so that requests need no lock while
@@ -67,6 +71,8 @@
 	// store is nil if blocks are not kept in one; isRestored is set once they were read from it.
 	store      server.Store
 	isRestored atomic.Bool
+	// isServing is nil if replicas cannot be asked whether an incarnation still serves.
+	isServing func(ctx context.Context, incarnation string) bool
 	// mu guards the fields below.
 	mu       sync.Mutex
 	evidence *evidence
@@ -84,6 +90,12 @@
 	return func(b *Blocker) { b.evidence.restartTime = least }
 }
 
+// WithServingCheck sets a function that asks a replica whether an incarnation still serves. An attempt that
+// such a one has ended was no crash: its connection broke for another reason.
+func WithServingCheck(isServing func(ctx context.Context, incarnation string) bool) Option {
+	return func(b *Blocker) { b.isServing = isServing }
+}
+
 // New returns a Blocker. Close must be called once.
 func New(log logr.Logger, timer server.Timer, links Links, options ...Option) *Blocker {
 	b := &Blocker{log: log, timer: timer, links: links, evidence: newEvidence(), blocks: make(blocks)}
@@ -161,20 +173,33 @@
 
 // RecordCrash implements server.RequestBlocker. It does not wait for the reports to other
 // instances.
-func (b *Blocker) RecordCrash(service, incarnation string, content server.RequestContent) {
+func (b *Blocker) RecordCrash(service, incarnation string, content server.RequestContent, beganAt time.Time) {
 	b.crashCount.Add(1)
 	parts := partKeys(content.Parts)
-	b.addCrash(service, incarnation, content.Keys, parts, b.timer.Now())
+	if !b.addCrash(service, incarnation, content.Keys, parts, beganAt) {
+		return
+	}
 	for _, id := range b.links.HolderIDs(holderName, holderCount) {
 		b.send(id, &encoder.PromptParts{Service: service, Incarnation: incarnation, CrashedParts: parts, CrashedRequests: content.Keys})
 	}
 }
 
+// RecordServing implements server.RequestBlocker.
+func (b *Blocker) RecordServing(incarnation string, beganAt time.Time) {
+	if b.endingCount.Load() == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evidence.endings.recordServing(incarnation, beganAt)
+	b.endingCount.Store(int64(len(b.evidence.endings)))
+}
+
 // HandleMessage handles the message of another instance.
 func (b *Blocker) HandleMessage(from string, message *encoder.PromptParts) {
 	now := b.timer.Now()
 	if incarnation := message.GetIncarnation(); incarnation != "" {
-		b.addCrash(message.GetService(), incarnation, requestKeys(message.GetCrashedRequests()), partKeys(message.GetCrashedParts()), now)
+		b.addCrash(message.GetService(), incarnation, requestKeys(message.GetCrashedRequests()), partKeys(message.GetCrashedParts()), time.Time{})
 	}
 	b.addCompletions(message.GetCompletions(), now)
 	b.addBlocks(message.GetBlocks(), now)
@@ -197,10 +222,23 @@
 	return list
 }
 
-// addCrash adds a crash to the evidence, and schedules a query if a part is suspected now.
-func (b *Blocker) addCrash(service, incarnation string, requests, parts []string, now time.Time) {
+// addCrash adds a crash to the evidence, and schedules a query if a part is suspected now. It reports whether
+// the attempt may have run when the incarnation crashed.
+func (b *Blocker) addCrash(service, incarnation string, requests, parts []string, beganAt time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := b.timer.Now()
+	mayHaveRun := b.evidence.recordEnding(incarnation, beganAt, now)
+	b.endingCount.Store(int64(len(b.evidence.endings)))
+	if mayHaveRun {
+		b.addPossibleCrash(service, incarnation, requests, parts, now)
+	}
+	return mayHaveRun
+}
+
+// addPossibleCrash is addCrash for an attempt that may have run when the incarnation crashed. The caller
+// holds mu.
+func (b *Blocker) addPossibleCrash(service, incarnation string, requests, parts []string, now time.Time) {
 	for _, part := range parts {
 		if _, ok := b.blocks.isBlocked(part, now); ok {
 			// Sent before the part was blocked.
@@ -233,12 +271,14 @@
 }
 
 // inquire asks all other instances whether they have completed requests with the suspected
-// parts, and any at all, and blocks the parts that remain suspected although other requests are
-// completed. It ends when no part is suspected.
+// parts, and any at all, and the replicas whether they have crashed, and blocks the parts that remain
+// suspected although other requests are completed. It ends when no part is suspected.
 func (b *Blocker) inquire() {
 	for server.Sleep(b.ctx, b.timer, settleDelay) == nil {
 		b.mu.Lock()
-		parts, keys := b.evidence.queries(b.timer.Now())
+		now := b.timer.Now()
+		parts, keys := b.evidence.queries(now)
+		incarnations := b.evidence.suspectedIncarnations(parts, now)
 		b.isInquiring = len(parts) > 0
 		b.mu.Unlock()
 		if len(parts) == 0 {
@@ -247,20 +287,35 @@
 		for _, id := range b.otherIDs() {
 			b.send(id, &encoder.PromptParts{QueriedParts: keys})
 		}
+		for _, incarnation := range incarnations {
+			b.start(func() { b.checkCrash(incarnation, now) })
+		}
 		// An instance that does not respond is not waited for longer: the part must be
 		// blocked though instances are down.
 		if server.Sleep(b.ctx, b.timer, queryDelay) != nil {
 			return
 		}
 		b.mu.Lock()
-		now := b.timer.Now()
-		for _, c := range b.evidence.convict(parts, now) {
+		queriedAt := now
+		now = b.timer.Now()
+		for _, c := range b.evidence.convict(parts, queriedAt, now) {
 			b.beginBlock(c, now)
 		}
 		b.mu.Unlock()
 	}
 }
 
+// checkCrash asks an incarnation whether it still serves, which refutes its crashes until askedAt.
+func (b *Blocker) checkCrash(incarnation string, askedAt time.Time) {
+	if b.isServing == nil || !b.isServing(b.ctx, incarnation) {
+		return
+	}
+	b.refutedCount.Add(1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evidence.survivals.add(incarnation, askedAt)
+}
+
 // addCompletions adds what other instances have completed to the evidence, and ends the blocks
 // that it refutes.
 func (b *Blocker) addCompletions(list []*encoder.PartCompletion, now time.Time) {
--- a/internal/server/blocker/blocker_test.go
+++ b/internal/server/blocker/blocker_test.go
@@ -181,10 +181,10 @@
 	replica := f.intN(18)
 	if crashes {
 		e.crashedAt = append(e.crashedAt, time.Now())
-		m.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), server.RequestContent{Parts: parts})
+		m.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), server.RequestContent{Parts: parts}, time.Time{})
 		// Another request that ran there, at any instance.
 		victim := f.members[f.intN(len(f.members))]
-		victim.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), server.RequestContent{Parts: []string{"first", fmt.Sprint("doc", f.intN(20))}})
+		victim.RecordCrash("engine", fmt.Sprintf("r-%d/%d", replica, e.born[replica]), server.RequestContent{Parts: []string{"first", fmt.Sprint("doc", f.intN(20))}}, time.Time{})
 		e.born[replica]++
 		return true
 	}
@@ -254,7 +254,7 @@
 		defer f.stop()
 		f.members[8].isCut = true
 		for i := range 6 {
-			f.members[8].RecordCrash("engine", fmt.Sprint("r-", i), server.RequestContent{Parts: []string{"a"}})
+			f.members[8].RecordCrash("engine", fmt.Sprint("r-", i), server.RequestContent{Parts: []string{"a"}}, time.Time{})
 			f.members[8].RecordCompletion("engine", server.RequestContent{Parts: []string{"b"}})
 			for _, m := range f.members[:8] {
 				m.RecordCompletion("engine", server.RequestContent{Parts: []string{"a"}})
@@ -283,7 +283,7 @@
 		f := newFleet(9, 1)
 		defer f.stop()
 		for i := range 6 {
-			f.members[i].RecordCrash("engine", fmt.Sprint("r-", i), server.RequestContent{Parts: []string{"a"}})
+			f.members[i].RecordCrash("engine", fmt.Sprint("r-", i), server.RequestContent{Parts: []string{"a"}}, time.Time{})
 		}
 		time.Sleep(100 * time.Millisecond)
 		f.members[8].RecordCompletion("engine", server.RequestContent{Parts: []string{"b"}})
@@ -296,7 +296,7 @@
 			wait, _ := m.BlockedFor(server.RequestContent{Parts: []string{"a"}})
 			is.Equal(wait, time.Duration(0))
 		}
-		f.members[3].RecordCrash("engine", "r-9", server.RequestContent{Parts: []string{"a"}}) // one more suffices now
+		f.members[3].RecordCrash("engine", "r-9", server.RequestContent{Parts: []string{"a"}}, time.Time{}) // one more suffices now
 		time.Sleep(time.Second)
 		for _, m := range f.members {
 			wait, _ := m.BlockedFor(server.RequestContent{Parts: []string{"a"}})
@@ -327,9 +327,9 @@
 					}
 					crashedAt = append(crashedAt, time.Now())
 					incarnation := fmt.Sprint("r-", i)
-					m.RecordCrash("orders", incarnation, bad)
+					m.RecordCrash("orders", incarnation, bad, time.Time{})
 					// Another request that ran there, at any instance.
-					f.members[f.intN(count)].RecordCrash("orders", incarnation, server.RequestContent{Keys: []string{server.ContentKey(fmt.Sprint(i - 1))}})
+					f.members[f.intN(count)].RecordCrash("orders", incarnation, server.RequestContent{Keys: []string{server.ContentKey(fmt.Sprint(i - 1))}}, time.Time{})
 					continue
 				}
 				if isAlone {
@@ -376,7 +376,7 @@
 			bad := server.RequestContent{Keys: []string{server.ContentKey("bad")}}
 			crash := func(i int) {
 				if m := f.members[i%count]; isFree(m, bad) {
-					m.RecordCrash("orders", fmt.Sprint("r-", i), bad)
+					m.RecordCrash("orders", fmt.Sprint("r-", i), bad, time.Time{})
 				}
 				time.Sleep(600 * time.Millisecond)
 			}
@@ -411,7 +411,7 @@
 		defer f.stop()
 		content := server.RequestContent{Keys: []string{server.ContentKey("a")}}
 		for i := range 3 {
-			f.members[i].RecordCrash("orders", fmt.Sprint("r-", i), content)
+			f.members[i].RecordCrash("orders", fmt.Sprint("r-", i), content, time.Time{})
 			time.Sleep(700 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
--- a/internal/server/blocker/evidence.go
+++ b/internal/server/blocker/evidence.go
@@ -28,10 +28,13 @@
 	// maxRequestCompletions bounds the completed requests; most come once only.
 	maxRequestCompletions = 2048
 	maxExplained          = 4096
+	maxSurvivals          = 4096
 	maxPartBytes          = 64
 	maxParts              = 256
 	maxRequestKeys        = 4
 	maxServices           = 32
+	// maxQueriedIncarnations bounds the incarnations that are asked whether they still serve.
+	maxQueriedIncarnations = 32
 )
 
 // crash is the end of an incarnation of a service's replica while it ran a request.
@@ -59,6 +62,10 @@
 	// counts against no other request, nor against a part of another one that ran beside it.
 	// Whether a part of the blocked request is the cause remains open.
 	explainedBy map[string]string
+	// survivals holds, by incarnation, when it last proved to serve: what ended before was no crash of it.
+	survivals recentTimes
+	// endings holds, by incarnation, the first attempt that it ended without a response to a later one since.
+	endings endings
 	// restartTime is zero if incarnations are known. Otherwise replicas are known by their
 	// IDs only, and a crash that follows the last one of its replica by more than this is one
 	// of its next incarnation.
@@ -71,6 +78,7 @@
 	return &evidence{
 		crashes: make(map[string][]crash), lastCrashes: make(map[string]crash), explainedBy: make(map[string]string),
 		completions: recentTimes{limit: maxCompletions}, requestCompletions: recentTimes{limit: maxRequestCompletions}, explained: recentTimes{limit: maxExplained},
+		survivals: recentTimes{limit: maxSurvivals}, endings: make(endings),
 	}
 }
 
@@ -82,7 +90,7 @@
 func (e *evidence) addCrash(service, incarnation string, requests, parts []string, at time.Time) {
 	incarnation = e.nameIncarnation(incarnation, at)
 	for _, part := range slices.Concat(parts, requests) {
-		known := e.crashes[part]
+		known := slices.DeleteFunc(slices.Clone(e.crashes[part]), e.isRefuted)
 		if slices.ContainsFunc(known, func(c crash) bool { return c.incarnation == incarnation }) {
 			continue
 		}
@@ -95,6 +103,15 @@
 	}
 }
 
+// recordEnding records that an incarnation ended an attempt at a time, and reports whether the attempt may have
+// run when the incarnation crashed. beganAt is zero for one of another instance.
+func (e *evidence) recordEnding(incarnation string, beganAt, at time.Time) bool {
+	if e.restartTime != 0 {
+		return true // the next incarnation has the same name
+	}
+	return e.endings.record(incarnation, beganAt, at)
+}
+
 // nameIncarnation returns the name of the incarnation of a replica that crashed at a time.
 func (e *evidence) nameIncarnation(replica string, at time.Time) string {
 	if e.restartTime == 0 {
@@ -139,6 +156,12 @@
 	return e.completions.find(part)
 }
 
+// isRefuted reports whether the incarnation of a crash proved to serve after it.
+func (e *evidence) isRefuted(c crash) bool {
+	survivedAt, ok := e.survivals.find(c.incarnation)
+	return ok && !c.at.After(survivedAt)
+}
+
 // isExplained reports whether the cause of a crash is known, and is not the part.
 func (e *evidence) isExplained(c crash, part string) bool {
 	if _, ok := e.explained.find(c.incarnation); ok {
@@ -154,7 +177,7 @@
 	completedAt, hasCompleted := e.completedAt(part)
 	for _, c := range e.crashes[part] {
 		isExonerated := hasCompleted && !c.at.After(completedAt.Add(completionMargin))
-		if !e.isExplained(c, part) && !isExonerated && now.Sub(c.at) < crashMaxAge {
+		if !e.isExplained(c, part) && !isExonerated && !e.isRefuted(c) && now.Sub(c.at) < crashMaxAge {
 			list = append(list, c)
 		}
 	}
@@ -232,14 +255,27 @@
 	return parts, append(keys, parts...)
 }
 
+// suspectedIncarnations returns the incarnations whose crashes count against the parts.
+func (e *evidence) suspectedIncarnations(parts []string, now time.Time) []string {
+	var list []string
+	for _, part := range parts {
+		for _, c := range e.counted(part, now) {
+			if !slices.Contains(list, c.incarnation) {
+				list = append(list, c.incarnation)
+			}
+		}
+	}
+	return list[:min(len(list), maxQueriedIncarnations)]
+}
+
 // convict returns those of the queried parts that are to be blocked, and counts their crashes
 // against no other part. Of several suspects that share crashes, the one with the most explains
 // those of the others; with as many, a part with which no request was completed goes before one
-// that has been.
-func (e *evidence) convict(queried []string, now time.Time) []conviction {
+// that has been. Crashes after queriedAt do not suffice: their replicas were not asked yet.
+func (e *evidence) convict(queried []string, queriedAt, now time.Time) []conviction {
 	var convicted []conviction
 	for {
-		worst := e.worstSuspects(queried, now)
+		worst := e.worstSuspects(queried, queriedAt, now)
 		if len(worst) == 0 {
 			return convicted
 		}
@@ -251,12 +287,12 @@
 }
 
 // worstSuspects returns the suspects among the queried parts that the most speaks against.
-func (e *evidence) worstSuspects(queried []string, now time.Time) []conviction {
+func (e *evidence) worstSuspects(queried []string, queriedAt, now time.Time) []conviction {
 	var worst []conviction
 	most := 0
 	for _, part := range queried {
 		counted := e.counted(part, now)
-		if !isSuspect(part, counted) || !e.isContrasted(part, counted) || isRequestKey(part) && e.hasOtherCause(part, counted, now) {
+		if !isSuspect(part, until(counted, queriedAt)) || !e.isContrasted(part, counted) || isRequestKey(part) && e.hasOtherCause(part, counted, now) {
 			continue
 		}
 		score := 2 * len(counted)
@@ -273,6 +309,14 @@
 	return worst
 }
 
+// until returns the crashes of a list, which is in order of time, until a time.
+func until(list []crash, end time.Time) []crash {
+	if n := slices.IndexFunc(list, func(c crash) bool { return c.at.After(end) }); n >= 0 {
+		return list[:n]
+	}
+	return list
+}
+
 // hasOtherCause reports whether something else may have caused all crashes under a request: a part, or
 // another request, under which the same incarnations crashed. A request that only ran beside the cause
 // has not more crashes than that one, so the next crash tells them apart.
--- a/internal/server/blocker/evidence_test.go
+++ b/internal/server/blocker/evidence_test.go
@@ -24,7 +24,7 @@
 // convicted returns the names of the parts that are convicted if all suspects were queried.
 func convicted(e *evidence, now time.Time) []string {
 	var parts []string
-	for _, c := range e.convict(e.suspects(now), now) {
+	for _, c := range e.convict(e.suspects(now), now, now) {
 		parts = append(parts, c.part)
 	}
 	return parts
@@ -149,8 +149,8 @@
 		e.addCrash(testService, fmt.Sprint("r", i), nil, []string{"a"}, at(float64(i)))
 	}
 	complete(e, at(4))
-	is.Equal(len(e.convict([]string{"b"}, at(5))), 0)
-	found := e.convict([]string{"a"}, at(5))
+	is.Equal(len(e.convict([]string{"b"}, at(5), at(5))), 0)
+	found := e.convict([]string{"a"}, at(5), at(5))
 	is.Equal(found, []conviction{{part: "a", since: at(0)}})
 }
 
--- a/internal/server/blocker/request_test.go
+++ b/internal/server/blocker/request_test.go
@@ -118,3 +118,21 @@
 		is.True(!isRequestKey(name))
 	}
 }
+
+// TestBrokenConnectionsOfServingReplicasConvictNoRequest guards against the block of a request whose
+// connections broke, each time, though no replica had crashed.
+func TestBrokenConnectionsOfServingReplicasConvictNoRequest(t *testing.T) {
+	is := is.New(t)
+	e := newEvidence()
+	for i := range 4 {
+		e.addCrash(testService, fmt.Sprint("r", i), []string{key("a")}, nil, at(float64(i)))
+		complete(e, at(float64(i)+0.5))
+	}
+	for i := range 2 {
+		e.survivals.add(fmt.Sprint("r", i), at(4))
+	}
+	is.Equal(len(convicted(e, at(5))), 0)
+	e.addCrash(testService, "r0", []string{key("a")}, nil, at(6)) // it crashed later
+	complete(e, at(6.5))
+	is.Equal(convicted(e, at(7)), []string{key("a")})
+}
--- a/internal/server/composer/composer.go
+++ b/internal/server/composer/composer.go
@@ -155,7 +155,7 @@
 	i.helper = tunneler.NewHelper(log, i.dialer, func(id string) (server.Replica, bool) { return i.registrar.View().Replica(id) }, tunneler.WithPauses(i.pauser))
 	upstreamExchanger := exchanger.New(i.dialer, adapter.Codec, exchanger.WithServing(func(replica *server.Replica) bool { return i.registrar.View().IsServing(replica) }),
 		exchanger.WithLeavingHandler(i.registrar.RecordLeaving), exchanger.WithLimits(timer, i.throttler), exchanger.WithPauses(timer, i.pauser))
-	i.blocker = blocker.New(log, timer, i.linker, blocker.WithArchive(adapter.Store))
+	i.blocker = blocker.New(log, timer, i.linker, blocker.WithArchive(adapter.Store), blocker.WithServingCheck(i.servingCheck(upstreamExchanger)))
 	i.owner = batcher.NewOwner(log, timer, upstreamExchanger, budget, batcher.WithBlocker(i.blocker), batcher.WithPauses(i.pauser))
 	i.submitter = batcher.NewSubmitter(log, timer, i.linker, i.owner)
 	i.chooser = chooser.New(timer)
@@ -184,6 +184,18 @@
 	})
 }
 
+// servingCheck returns a function that asks a replica whether an incarnation of it still serves.
+func (i *Instance) servingCheck(upstreamExchanger *exchanger.Exchanger) func(ctx context.Context, incarnation string) bool {
+	return func(ctx context.Context, incarnation string) bool {
+		replica, ok := i.registrar.View().Replica(server.IncarnationReplicaID(incarnation))
+		if !ok || replica.Incarnation() != incarnation {
+			return false
+		}
+		statement := upstreamExchanger.AskStart(ctx, &replica)
+		return statement.IsStated && statement.StartMillis == replica.StartMillis
+	}
+}
+
 // reportBlockedTimer logs that a function of the timer service does not return. The line is written
 // at once, as the recorder itself relies on the timer service.
 func (i *Instance) reportBlockedTimer(function string) {
--- a/internal/server/keeper.go
+++ b/internal/server/keeper.go
@@ -26,9 +26,11 @@
 	// BlockedFor returns for how long a request must not be sent to replicas, and the key or the
 	// part for which it is blocked; zero if it is not.
 	BlockedFor(content RequestContent) (wait time.Duration, cause string)
-	// RecordCrash records that an incarnation of a service's replica ended a request without a
-	// response, or within it.
-	RecordCrash(service, incarnation string, content RequestContent)
+	// RecordCrash records that an incarnation of a service's replica ended an attempt of a request, which
+	// began at beganAt, without a response, or within it. beganAt is zero if it is not known.
+	RecordCrash(service, incarnation string, content RequestContent, beganAt time.Time)
+	// RecordServing records that an incarnation has begun to respond to an attempt that began at beganAt.
+	RecordServing(incarnation string, beganAt time.Time)
 	// RecordCompletion records that a service completed a request.
 	RecordCompletion(service string, content RequestContent)
 }
--- a/internal/server/orderer/cluster_test.go
+++ b/internal/server/orderer/cluster_test.go
@@ -261,6 +261,7 @@
 // noBlocker blocks no order.
 type noBlocker struct{}
 
-func (noBlocker) BlockedFor(server.RequestContent) (time.Duration, string) { return 0, "" }
-func (noBlocker) RecordCrash(string, string, server.RequestContent)        {}
-func (noBlocker) RecordCompletion(string, server.RequestContent)           {}
+func (noBlocker) BlockedFor(server.RequestContent) (time.Duration, string)     { return 0, "" }
+func (noBlocker) RecordCrash(string, string, server.RequestContent, time.Time) {}
+func (noBlocker) RecordServing(string, time.Time)                              {}
+func (noBlocker) RecordCompletion(string, server.RequestContent)               {}
--- a/internal/server/orderer/execution.go
+++ b/internal/server/orderer/execution.go
@@ -291,7 +291,7 @@
 	case err == nil:
 		e.orderer.dependencies.RequestBlocker.RecordCompletion(e.service.Name(), content)
 	case errors.Is(err, server.ErrConnectionLost):
-		e.orderer.dependencies.RequestBlocker.RecordCrash(e.service.Name(), upstream.ID(), content)
+		e.orderer.dependencies.RequestBlocker.RecordCrash(e.service.Name(), upstream.ID(), content, time.Time{})
 	}
 }
 
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -169,6 +170,11 @@
 // Incarnation returns what identifies the replica's present start among all starts.
 func (r *Replica) Incarnation() string { return r.ID + "/" + strconv.FormatInt(r.StartMillis, 10) }
 
+// IncarnationReplicaID returns the ID of the replica of an incarnation; see Replica.Incarnation.
+func IncarnationReplicaID(incarnation string) string {
+	return incarnation[:max(strings.LastIndexByte(incarnation, '/'), 0)]
+}
+
 // Instance is a process of the deployment, as its row in the store describes it.
 type Instance struct {
 	ID         string `json:"id"`
--- a/internal/server/relayer/content.go
+++ b/internal/server/relayer/content.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"time"
 
 	"oriolemill.example/oriolemill/internal/server"
 )
@@ -31,7 +32,7 @@
 // recordContent records for what the request holds how an attempt ended. A replica that crashes
 // closes the connection; an attempt that was cancelled here, of which the cause remains, shows
 // nothing.
-func (f *relayedRequest) recordContent(outcome attemptOutcome, replica *server.Replica) {
+func (f *relayedRequest) recordContent(outcome attemptOutcome, replica *server.Replica, beganAt time.Time) {
 	switch outcome {
 	case attemptComplete:
 		if f.outcome == outcomeAnswered && f.status < http.StatusMultipleChoices {
@@ -39,7 +40,7 @@
 		}
 	case attemptNoResponse, attemptTruncated, attemptStreamBroken:
 		if errors.Is(context.Cause(f.attemptCtx), context.Canceled) && f.ctx.Err() == nil {
-			f.RequestBlocker.RecordCrash(f.service, replica.Incarnation(), f.content)
+			f.RequestBlocker.RecordCrash(f.service, replica.Incarnation(), f.content, beganAt)
 		}
 	default:
 		// The replica did not begin to respond, or responded that it failed.
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -258,7 +258,7 @@
 	outcome := f.send(&replica)
 	duration := f.Timer.Now().Sub(startedAt)
 	f.Meter.RecordAttempt(f.service, outcome.String(), string(f.framing), duration)
-	f.recordContent(outcome, &replica)
+	f.recordContent(outcome, &replica, startedAt)
 	f.recordBreak(outcome, &replica, f.isWithheld)
 	return f.handleAttempt(outcome, &replica, duration)
 }
--- a/internal/server/relayer/response.go
+++ b/internal/server/relayer/response.go
@@ -53,7 +53,7 @@
 func (f *relayedRequest) send(replica *server.Replica) attemptOutcome {
 	f.attempted = append(f.attempted, replica.ID)
 	f.replica, f.version = replica.ID, replica.Version
-	attempt := f.Chooser.Begin(replica)
+	attempt, beganAt := f.Chooser.Begin(replica), f.Timer.Now()
 	ctx, cancel := context.WithCancelCause(f.ctx)
 	defer cancel(nil)
 	f.attemptCtx, f.cancelStalled = ctx, func() { cancel(errStalled) }
@@ -75,6 +75,7 @@
 	responseInfo := response.ResponseInfo()
 	f.pause = responseInfo.Pause
 	attempt.RecordHeaders(responseInfo)
+	f.RequestBlocker.RecordServing(replica.Incarnation(), beganAt)
 	switch {
 	case responseInfo.IsMisdirected:
 		f.attemptCount--
--- a/internal/server/runner/attempt.go
+++ b/internal/server/runner/attempt.go
@@ -87,7 +87,7 @@
 	case err == nil:
 		c.runner.dependencies.RequestBlocker.RecordCompletion(pickRequest.Service, pickRequest.Content)
 	case errors.Is(err, server.ErrConnectionLost):
-		c.runner.dependencies.RequestBlocker.RecordCrash(pickRequest.Service, upstream.ID(), pickRequest.Content)
+		c.runner.dependencies.RequestBlocker.RecordCrash(pickRequest.Service, upstream.ID(), pickRequest.Content, time.Time{})
 	}
 }
 
--- a/internal/server/runner/blocked_prompt_test.go
+++ b/internal/server/runner/blocked_prompt_test.go
@@ -30,9 +30,10 @@
 // noBlocker blocks no prompt.
 type noBlocker struct{}
 
-func (noBlocker) BlockedFor(server.RequestContent) (time.Duration, string) { return 0, "" }
-func (noBlocker) RecordCrash(string, string, server.RequestContent)        {}
-func (noBlocker) RecordCompletion(string, server.RequestContent)           {}
+func (noBlocker) BlockedFor(server.RequestContent) (time.Duration, string)     { return 0, "" }
+func (noBlocker) RecordCrash(string, string, server.RequestContent, time.Time) {}
+func (noBlocker) RecordServing(string, time.Time)                              {}
+func (noBlocker) RecordCompletion(string, server.RequestContent)               {}
 
 // noLinks are the links of an instance without others.
 type noLinks struct{}
