exchanger: bound the whole question for a replica's start

The first event of a stream could wait 1.1 s for a replica's statement of its start: the connection may take 700 ms to fail, and the limit of 400 ms began after it. Evidence: TestStreamIsNotHeldUpByAPathThatHangs fails before. Change: the limit includes the opening of the connection.

--- a/internal/server/exchanger/verify.go
+++ b/internal/server/exchanger/verify.go
@@ -43,6 +43,8 @@
 	if x.checkPause(replica) != nil {
 		return server.Statement{}
 	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
 	conn, err := x.dialer.Open(ctx, replica)
 	if err != nil {
 		return server.Statement{}
