blocker: fix a data race between a question and the decision after it

The time at which replicas are asked whether they have crashed was read by the goroutines that ask while it was set for the next step: an answer could have counted for later than it was asked for.

--- a/internal/server/blocker/blocker.go
+++ b/internal/server/blocker/blocker.go
@@ -276,9 +276,9 @@
 func (b *Blocker) inquire() {
 	for server.Sleep(b.ctx, b.timer, settleDelay) == nil {
 		b.mu.Lock()
-		now := b.timer.Now()
-		parts, keys := b.evidence.queries(now)
-		incarnations := b.evidence.suspectedIncarnations(parts, now)
+		queriedAt := b.timer.Now()
+		parts, keys := b.evidence.queries(queriedAt)
+		incarnations := b.evidence.suspectedIncarnations(parts, queriedAt)
 		b.isInquiring = len(parts) > 0
 		b.mu.Unlock()
 		if len(parts) == 0 {
@@ -288,7 +288,7 @@
 			b.send(id, &encoder.PromptParts{QueriedParts: keys})
 		}
 		for _, incarnation := range incarnations {
-			b.start(func() { b.checkCrash(incarnation, now) })
+			b.start(func() { b.checkCrash(incarnation, queriedAt) })
 		}
 		// An instance that does not respond is not waited for longer: the part must be
 		// blocked though instances are down.
@@ -296,8 +296,7 @@
 			return
 		}
 		b.mu.Lock()
-		queriedAt := now
-		now = b.timer.Now()
+		now := b.timer.Now()
 		for _, c := range b.evidence.convict(parts, queriedAt, now) {
 			b.beginBlock(c, now)
 		}
