exchanger: rely on no statement that came on a connection which is not used further

Found by reading the change before: a replica that closes its connection after its report was sent the rest of a stream on another one, to which the statement does not apply.

--- a/internal/server/exchanger/verify.go
+++ b/internal/server/exchanger/verify.go
@@ -25,11 +25,13 @@
 		return nil, err
 	}
 	statement, _, isReusable := x.readStatement(ctx, conn, replica)
+	// What it states says nothing of the next connection.
+	statement.IsStated = statement.IsStated && isReusable
 	if err := request.Verify(statement); err != nil {
 		_ = conn.Close()
 		return nil, server.NewFault("verify", replica.ID, merry.Prepend(server.ErrWithheld, err.Error()))
 	}
-	if statement.IsStated && isReusable {
+	if statement.IsStated {
 		conn.MarkUsed()
 		return conn, nil
 	}
