batcher, relayer: state what decisions of an owner cost, and the age of the estimates

Logs could not tell an owner that cannot keep up from estimates that admit too much: the duration of decisions was nowhere, and a request that was admitted without an estimate left no trace.

- The owner of a stage service writes one line a second, 'load of a stage service': jobs, calls, the number and duration of decisions, the most queued pieces, and replicas that stayed idle while pieces waited.
Metrics: oriolemill_batch_decisions_total, oriolemill_batch_decision_seconds_total, oriolemill_batch_queued_pieces.
- Lines 'request' and 'refused on arrival' state the age of the oldest estimate that was used, also if it was too old and the plan's duration of a call was taken instead.

No decision changes.

--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -77,10 +77,11 @@
 	returning       ReturningPolicy
 	patientServices map[string]bool
 	// statesPaces reports whether replicas have stated their paces to this instance.
-	statesPaces   func() bool
-	refusals      Refusals
-	shedLimiter   shedLimiter
-	pieceCounters pieceCounters
+	statesPaces     func() bool
+	refusals        Refusals
+	shedLimiter     shedLimiter
+	pieceCounters   pieceCounters
+	decisionMetrics decisionMetrics
 	// draining is set once the instance stops: new jobs are left to the next owner.
 	draining bool
 }
@@ -107,6 +108,7 @@
 	untrackedReleases map[string]time.Time
 	releaseScheduled  bool
 	cancelDispatch    func()
+	load              serviceLoad
 }
 
 // OwnerOption sets a property of an Owner.
@@ -132,7 +134,7 @@
 // when it is first used. Stop must be called at the end.
 func NewOwner(log logr.Logger, timer server.Timer, caller Caller, budget server.RetryBudget, options ...OwnerOption) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
-	o := &Owner{log: log, timer: timer, caller: caller, budget: budget, statesPaces: func() bool { return false }, services: make(map[string]*ownedService), ctx: ctx, cancel: cancel, sendState: func(*encoder.ServiceState) {}, pieceCounters: newPieceCounters()}
+	o := &Owner{log: log, timer: timer, caller: caller, budget: budget, statesPaces: func() bool { return false }, services: make(map[string]*ownedService), ctx: ctx, cancel: cancel, sendState: func(*encoder.ServiceState) {}, pieceCounters: newPieceCounters(), decisionMetrics: newDecisionMetrics()}
 	for _, option := range options {
 		option(o)
 	}
@@ -228,6 +230,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.getOrCreateService(job.Service)
+	s.load.jobs++
 	o.budget.RecordRequests(job.Service, len(job.Pieces))
 	if o.draining {
 		onFinish(Result{Failure: PieceFailureMoved})
@@ -325,6 +328,7 @@
 	defer o.mu.Unlock()
 	if s := o.services[service]; s != nil {
 		now := o.timer.Now()
+		defer o.recordDecision(s, now)
 		o.updatePauses(s, now)
 		return s.queue.waitTimes(now), s.queue.typicalDuration()
 	}
@@ -335,6 +339,7 @@
 // has shed. The caller holds mu.
 func (o *Owner) dispatch(s *ownedService) {
 	now := o.timer.Now()
+	defer o.recordDecision(s, now)
 	o.updatePauses(s, now)
 	s.queue.finishesLate = o.finishesLate(s.name)
 	for {
@@ -345,10 +350,12 @@
 		if c == nil {
 			break
 		}
+		s.load.calls++
 		o.counts.Calls++
 		o.counts.Pieces += uint64(len(c.pieces))
 		o.wg.Go(func() { o.runCall(s, c) })
 	}
+	s.recordIdle(now)
 	o.scheduleDispatch(s, now)
 }
 
--- a/internal/server/batcher/share_log.go
+++ b/internal/server/batcher/share_log.go
@@ -73,9 +73,12 @@
 	c.served.WithLabelValues(client).Add(float64(len(t.Pieces)))
 }
 
-// Collectors returns the metrics of served and shed pieces.
+// Collectors returns the metrics of served and shed pieces and of decisions.
 func (o *Owner) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{o.pieceCounters.served, o.pieceCounters.shed, o.pieceCounters.returning}
+	return []prometheus.Collector{
+		o.pieceCounters.served, o.pieceCounters.shed, o.pieceCounters.returning,
+		o.decisionMetrics.decisions, o.decisionMetrics.seconds, o.decisionMetrics.queued,
+	}
 }
 
 // shedLimiter bounds the log lines about refused jobs.
--- a/internal/server/batcher/submitter.go
+++ b/internal/server/batcher/submitter.go
@@ -24,6 +24,8 @@
 	expectBatchDelay = 10 * time.Millisecond
 	// estimateMaxAge is how old a wait estimate may be when it is used.
 	estimateMaxAge = 700 * time.Millisecond
+	// unknownEstimateAge is the age that log lines state where no estimate was received yet.
+	unknownEstimateAge = time.Hour
 	// sendTimeout bounds sending a message that has no response.
 	sendTimeout = time.Second
 )
@@ -340,7 +342,7 @@
 	// if all queued and expected pieces are computed before it. CallDuration is the part
 	// of both that the piece's own call takes.
 	OnTime, AfterBacklog, CallDuration time.Duration
-	// Age is how old the estimate is.
+	// Age is how old the estimate is, at most unknownEstimateAge, also when there is none to use.
 	Age time.Duration
 }
 
@@ -353,7 +355,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lastEstimate, ok := s.estimates[service]
-	age := s.timer.Now().Sub(lastEstimate.receivedAt)
+	age := min(s.timer.Now().Sub(lastEstimate.receivedAt), unknownEstimateAge)
 	if !ok || age > estimateMaxAge || len(lastEstimate.byRank) <= router.RankCount {
 		return WaitEstimate{Age: age}, false
 	}
--- a/internal/server/relayer/admit.go
+++ b/internal/server/relayer/admit.go
@@ -62,6 +62,7 @@
 		return f.refuse(noRegionReason, refusedRetryAfter)
 	}
 	expected, queued, age := f.expectedDelay(onTimeWait)
+	f.estimateAge = age
 	if pause := f.pauseWait(nil); pause > expected-f.engineDelay() && !f.mayAwaitPause(pause) {
 		return f.refuse(pausedReason, f.retryAfter())
 	}
@@ -173,11 +174,12 @@
 // waitEstimate returns the wait estimate of a service. Without a recent one from the
 // service's owner it is the planned duration of a call.
 func (f *relayedRequest) waitEstimate(service string) batcher.WaitEstimate {
-	if estimate, ok := f.WaitEstimator.WaitEstimate(service, f.rank); ok {
+	estimate, ok := f.WaitEstimator.WaitEstimate(service, f.rank)
+	if ok {
 		return estimate
 	}
 	plannedDuration := f.plannedCallDuration(service)
-	return batcher.WaitEstimate{OnTime: plannedDuration, AfterBacklog: plannedDuration, CallDuration: plannedDuration}
+	return batcher.WaitEstimate{OnTime: plannedDuration, AfterBacklog: plannedDuration, CallDuration: plannedDuration, Age: estimate.Age}
 }
 
 // plannedCallDuration returns the duration of a call of a stage service by the plan, with
--- a/internal/server/relayer/request.go
+++ b/internal/server/relayer/request.go
@@ -70,6 +70,8 @@
 	rank int
 	// isReturning is set if the client was refused before and has waited as the refusal asked.
 	isReturning bool
+	// estimateAge is the age of the oldest wait estimate by which the request was admitted or refused.
+	estimateAge time.Duration
 	service     string
 	// regions are the regions whose replicas may get the request; empty for all.
 	regions []string
@@ -364,6 +366,6 @@
 	}
 	f.Log.Info("request", "request", loggedText(f.info.ID), "route", routeName, "plan", planVersion, "workspace", f.workspaceName(), "priority", f.priority, "rank", f.rank,
 		"patience_ms", f.info.ClientTimeout.Milliseconds(), "service", f.service, "replica", f.replica, "version", f.version, "returning", f.isReturning, "outcome", f.outcome, "status", f.status, "reason", loggedText(f.reason),
-		"framing", f.framing, "unfinished", len(f.events.remainder()), "attempts", f.attemptCount, "tries", f.tryCount, "took_ms", duration.Milliseconds(), "staged_ms", f.stagesDuration.Milliseconds(), "sent_ms", f.sendDelay.Milliseconds(), "stage_ms", f.stageDurations,
+		"framing", f.framing, "unfinished", len(f.events.remainder()), "attempts", f.attemptCount, "tries", f.tryCount, "took_ms", duration.Milliseconds(), "staged_ms", f.stagesDuration.Milliseconds(), "estimate_age_ms", f.estimateAge.Milliseconds(), "sent_ms", f.sendDelay.Milliseconds(), "stage_ms", f.stageDurations,
 		"first_ms", f.firstByteDelay.Milliseconds(), "last_event", loggedText(f.events.lastID))
 }
