--- a/internal/server/batcher/call.go
+++ b/internal/server/batcher/call.go
@@ -63,6 +63,7 @@
 		}
 		p.task.isStarted = true
 	}
+	q.inspect(len(q.tasks))
 	q.tasks = slices.DeleteFunc(q.tasks, func(t *task) bool {
 		t.queued = slices.DeleteFunc(t.queued, func(p *queuedPiece) bool { return inCall[p] })
 		return len(t.queued) == 0
--- a/internal/server/batcher/estimate.go
+++ b/internal/server/batcher/estimate.go
@@ -41,6 +41,7 @@
 // backlog counts the queued and expected pieces: by rank those that can still meet
 // their soft deadline, and the total. It deletes the forecasts that are no longer valid.
 func (q *queue) backlog(now time.Time) (onTime [router.RankCount]int, total int) {
+	q.inspect(len(q.forecasts))
 	for key, e := range q.forecasts {
 		if now.After(e.expiresAt) {
 			delete(q.forecasts, key)
@@ -50,6 +51,7 @@
 		total += e.count
 	}
 	nextCallEnd := now.Add(q.nextCallDuration())
+	q.inspect(len(q.tasks))
 	for _, t := range q.tasks {
 		if !t.usesLeftover && !nextCallEnd.After(q.dueAt(t)) {
 			onTime[min(max(t.Rank, 0), router.RankCount-1)] += len(t.queued)
@@ -105,6 +107,7 @@
 func (q *queue) throughput(now time.Time) (untilNextCall time.Duration, perSecond float64) {
 	untilNextCall = -1
 	pause := q.untilPauseEnd(now)
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if b.isUnregistered || b.isBlocked(now.Add(pause)) {
 			continue
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -384,6 +384,7 @@
 		return
 	}
 	dispatchAt := now.Add(localityWait)
+	s.queue.inspect(len(s.queue.tasks) + len(s.queue.replicas))
 	for _, t := range s.queue.tasks {
 		if waitEnd := t.enqueuedAt.Add(localityWait); waitEnd.After(now) && waitEnd.Before(dispatchAt) {
 			dispatchAt = waitEnd
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -68,8 +68,13 @@
 	shares *workspaceShares
 	// times estimates the time per piece of each stage; nil unless the policy is SharesOfWorkspaces.
 	times *stageTimes
+	// inspected counts the tasks, pieces and replicas that decisions have looked at: their cost, whatever the processor.
+	inspected uint64
 }
 
+// inspect adds to the cost of the decisions so far.
+func (q *queue) inspect(count int) { q.inspected += uint64(count) }
+
 func newQueue() *queue {
 	return &queue{replicas: make(map[string]*trackedReplica), forecasts: make(map[stageKey]expectedPieces)}
 }
@@ -147,6 +152,7 @@
 	var shed []*task
 	leftoverEnd := q.earliestLeftoverEnd(now)
 	now = now.Add(q.untilPauseEnd(now))
+	q.inspect(len(q.tasks))
 	earliestEnd, callDuration, isBacklogged := now.Add(q.shortestCall()), q.nextCallDuration(), q.isBacklogged()
 	q.tasks = slices.DeleteFunc(q.tasks, func(t *task) bool {
 		due := q.dueAt(t)
@@ -181,6 +187,7 @@
 // pauses; otherwise zero.
 func (q *queue) untilPauseEnd(now time.Time) time.Duration {
 	var shortest time.Duration
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if b.isUnregistered {
 			continue
@@ -210,6 +217,7 @@
 // replica, at most the planned duration.
 func (q *queue) shortestCall() time.Duration {
 	slowdown := 0.0
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if !b.isUnregistered && (slowdown == 0 || b.slowdown < slowdown) {
 			slowdown = b.slowdown
@@ -228,6 +236,7 @@
 // idleReplicas returns the replicas that can take a call now, the fastest first.
 func (q *queue) idleReplicas(now time.Time) []*trackedReplica {
 	var idle []*trackedReplica
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if !b.isUnregistered && b.activeCalls < q.batch.Slots && !b.isBlocked(now) {
 			b.expireResults(now)
@@ -245,6 +254,7 @@
 // ascending order. Slow and blocked replicas are left out.
 func (q *queue) slotTimes(now time.Time) map[string][]time.Time {
 	times := make(map[string][]time.Time)
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if b.isUnregistered || b.isBlocked(now) || q.isSlow(b) {
 			continue
@@ -267,6 +277,7 @@
 // bestSlowdown returns the slowdown of the fastest replica, or 0 without replicas.
 func (q *queue) bestSlowdown() float64 {
 	best := 0.0
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if !b.isUnregistered && (best == 0 || b.slowdown < best) {
 			best = b.slowdown
@@ -279,6 +290,7 @@
 // so slow that pieces are computed sooner if they wait for another one, are not allowed at any of those.
 func (q *queue) tasksFor(b *trackedReplica, tasks []*task, now time.Time) []*task {
 	faster := q.fasterReplicas(b, now)
+	q.inspect(len(tasks))
 	var list []*task
 	for _, t := range tasks {
 		if b.IsAllowed(t.Regions) && !slices.ContainsFunc(faster, func(other *trackedReplica) bool { return other.IsAllowed(t.Regions) }) {
@@ -295,6 +307,7 @@
 	}
 	length := q.regularLength()
 	end := now.Add(q.expectedDuration(slow, min(length, q.batch.MaxPieces)))
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if b.isUnregistered || b == slow || q.isSlow(b) || b.isBlocked(now) {
 			continue
@@ -328,6 +341,7 @@
 			builder.addPreferring() // left-over tasks come last
 		}
 		for _, p := range t.queued {
+			q.inspect(1)
 			if len(builder.pieces) == q.batch.MaxPieces {
 				return builder.pieces
 			}
@@ -356,6 +370,7 @@
 // registered replica, without those that use left-over capacity.
 func (q *queue) isBacklogged() bool {
 	replicas := 0
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if !b.isUnregistered {
 			replicas++
--- a/internal/server/batcher/rank_usage.go
+++ b/internal/server/batcher/rank_usage.go
@@ -67,6 +67,7 @@
 	var onTime [router.RankCount][]*task
 	var late []*task
 	nextCallEnd := now.Add(q.nextCallDuration())
+	q.inspect(len(q.tasks))
 	for _, t := range q.tasks {
 		if t.usesLeftover || nextCallEnd.After(q.dueAt(t)) {
 			late = append(late, t)
--- a/internal/server/batcher/returning.go
+++ b/internal/server/batcher/returning.go
@@ -91,6 +91,7 @@
 // blocked ones, and so do those with several slots, of which only the end of the last call is known.
 func (q *queue) earliestLeftoverEnd(now time.Time) time.Time {
 	var freeAt time.Time
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if b.isUnregistered {
 			continue
@@ -116,6 +117,7 @@
 		return nil
 	}
 	perSecond := 0.0
+	q.inspect(len(q.replicas) + len(q.tasks))
 	for _, b := range q.replicas {
 		if !b.isUnregistered {
 			perSecond += float64(q.batch.MaxPieces) / max(q.expectedDuration(b, q.batch.MaxPieces), time.Millisecond).Seconds()
--- a/internal/server/batcher/stage_times.go
+++ b/internal/server/batcher/stage_times.go
@@ -173,6 +173,7 @@
 // averageSlowdown returns the mean slowdown of the registered replicas; 1 without any.
 func (q *queue) averageSlowdown() float64 {
 	replicas, sum := 0, 0.0
+	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
 		if !b.isUnregistered {
 			replicas++
