batcher: the cost of a decision grows with the jobs and replicas, not with their product

What callers saw: in a large fleet, routes with stages earned too little while all others were served.

Also, each idle replica was compared with all tasks, even one without memory for any result, and whether a replica is slow was found by looking at all others. The cost of a job grew with the queue, and the queue with the cost: an owner that falls behind stays behind.

Fix: the shortest call and the limit of slow replicas are computed once per decision, and only if a task needs them; replicas without memory for the smallest result are left out; the list of tasks is copied only for slow replicas or restricted regions. Decisions are the same.

--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -389,10 +389,10 @@
 		if waitEnd := t.enqueuedAt.Add(localityWait); waitEnd.After(now) && waitEnd.Before(dispatchAt) {
 			dispatchAt = waitEnd
 		}
-		// The client must receive the refusal before its deadline.
-		if refusedAt, ok := s.queue.refusalTime(t); ok && refusedAt.After(now) && refusedAt.Before(dispatchAt) {
-			dispatchAt = refusedAt
-		}
+	}
+	// The client must receive the refusal before its deadline.
+	if refusedAt, ok := s.queue.earliestRefusal(now); ok && refusedAt.Before(dispatchAt) {
+		dispatchAt = refusedAt
 	}
 	for _, b := range s.queue.replicas {
 		for _, blockEnd := range [...]time.Time{b.blockedUntil, b.pausedUntil} {
--- a/internal/server/batcher/queue.go
+++ b/internal/server/batcher/queue.go
@@ -131,8 +131,15 @@
 	}
 	orderedTasks := q.servingOrder(now)
 	slotTimes := q.slotTimes(now)
+	slowdownLimit, needs := q.slowdownLimit(), q.needsOf(orderedTasks)
 	for _, b := range idle {
-		tasks := q.tasksFor(b, orderedTasks, now)
+		if q.batch.ResultMemory > 0 && needs.memory > b.freeMemory(q.batch.ResultMemory, now) {
+			continue
+		}
+		tasks := orderedTasks
+		if needs.hasRegions || b.slowdown > slowdownLimit {
+			tasks = q.tasksFor(b, orderedTasks, slowdownLimit, now)
+		}
 		if len(tasks) == 0 {
 			continue
 		}
@@ -143,6 +150,24 @@
 	return nil, shed
 }
 
+// taskNeeds is what a replica must have for any of a list of tasks: memory in bytes for the smallest result, and a region
+// that tasks allow if hasRegions is set.
+type taskNeeds struct {
+	memory     int64
+	hasRegions bool
+}
+
+// needsOf returns what a list of tasks, which has at least one, needs.
+func (q *queue) needsOf(tasks []*task) taskNeeds {
+	q.inspect(len(tasks))
+	needs := taskNeeds{memory: tasks[0].ResultBytes}
+	for _, t := range tasks {
+		needs.memory = min(needs.memory, t.ResultBytes)
+		needs.hasRegions = needs.hasRegions || len(t.Regions) > 0
+	}
+	return needs
+}
+
 // pruneTasks removes the finished tasks and those that are shed, and returns the latter. A
 // task is shed if no call can end before its hard deadline, if it has waited for too long
 // since it could no longer meet its soft deadline and late tasks are not finished, or if it cannot meet that while the
@@ -254,9 +279,10 @@
 // ascending order. Slow and blocked replicas are left out.
 func (q *queue) slotTimes(now time.Time) map[string][]time.Time {
 	times := make(map[string][]time.Time)
+	slowdownLimit := q.slowdownLimit()
 	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
-		if b.isUnregistered || b.isBlocked(now) || q.isSlow(b) {
+		if b.isUnregistered || b.isBlocked(now) || b.slowdown > slowdownLimit {
 			continue
 		}
 		freeAt := now
@@ -271,8 +297,8 @@
 	return times
 }
 
-// isSlow reports whether a replica is much slower than the fastest one.
-func (q *queue) isSlow(b *trackedReplica) bool { return b.slowdown > slowThreshold*q.bestSlowdown() }
+// slowdownLimit returns the slowdown above which a replica counts as slow: much slower than the fastest one.
+func (q *queue) slowdownLimit() float64 { return slowThreshold * q.bestSlowdown() }
 
 // bestSlowdown returns the slowdown of the fastest replica, or 0 without replicas.
 func (q *queue) bestSlowdown() float64 {
@@ -288,8 +314,8 @@
 
 // tasksFor returns the tasks whose pieces an idle replica may compute: those that are allowed in its region and, if it is
 // so slow that pieces are computed sooner if they wait for another one, are not allowed at any of those.
-func (q *queue) tasksFor(b *trackedReplica, tasks []*task, now time.Time) []*task {
-	faster := q.fasterReplicas(b, now)
+func (q *queue) tasksFor(b *trackedReplica, tasks []*task, slowdownLimit float64, now time.Time) []*task {
+	faster := q.fasterReplicas(b, slowdownLimit, now)
 	q.inspect(len(tasks))
 	var list []*task
 	for _, t := range tasks {
@@ -301,15 +327,15 @@
 }
 
 // fasterReplicas returns, for an idle replica that is slow, the ones that compute pieces sooner though these wait for them.
-func (q *queue) fasterReplicas(slow *trackedReplica, now time.Time) (faster []*trackedReplica) {
-	if !q.isSlow(slow) {
+func (q *queue) fasterReplicas(slow *trackedReplica, slowdownLimit float64, now time.Time) (faster []*trackedReplica) {
+	if slow.slowdown <= slowdownLimit {
 		return nil
 	}
 	length := q.regularLength()
 	end := now.Add(q.expectedDuration(slow, min(length, q.batch.MaxPieces)))
 	q.inspect(len(q.replicas))
 	for _, b := range q.replicas {
-		if b.isUnregistered || b == slow || q.isSlow(b) || b.isBlocked(now) {
+		if b.isUnregistered || b == slow || b.slowdown > slowdownLimit || b.isBlocked(now) {
 			continue
 		}
 		// If the queue is longer than one call of each replica, other pieces come first,
--- a/internal/server/batcher/returning.go
+++ b/internal/server/batcher/returning.go
@@ -164,10 +164,21 @@
 	return shed
 }
 
-// refusalTime returns when the task is refused unless it becomes part of a call before; false for a task that does not use
-// left-over capacity.
-func (q *queue) refusalTime(t *task) (time.Time, bool) {
-	return t.HardDeadline.Add(-q.shortestCall()), t.usesLeftover
+// earliestRefusal returns when the first of the tasks that use left-over capacity is refused unless it becomes part of a
+// call before; false without such a task that is refused after now.
+func (q *queue) earliestRefusal(now time.Time) (earliest time.Time, ok bool) {
+	if q.leftoverLength == 0 {
+		return time.Time{}, false
+	}
+	shortestCall := q.shortestCall()
+	q.inspect(len(q.tasks))
+	for _, t := range q.tasks {
+		refusedAt := t.HardDeadline.Add(-shortestCall)
+		if t.usesLeftover && refusedAt.After(now) && (!ok || refusedAt.Before(earliest)) {
+			earliest, ok = refusedAt, true
+		}
+	}
+	return earliest, ok
 }
 
 // regularLength returns the number of queued pieces without those that use left-over capacity.
--- a/internal/server/batcher/stage_times_test.go
+++ b/internal/server/batcher/stage_times_test.go
@@ -63,7 +63,7 @@
 			}
 		}
 		isSlow := hasSlowReplica && at >= slowFrom && at < slowUntil
-		if isSlow && result.recognizedAfter == 0 && q.isSlow(q.replicas["i-0"]) {
+		if isSlow && result.recognizedAfter == 0 && q.replicas["i-0"].slowdown > q.slowdownLimit() {
 			result.recognizedAfter = at - slowFrom
 		}
 		for {
@@ -81,7 +81,7 @@
 			}
 			calls++
 			for id, b := range q.replicas {
-				if id != "i-0" && q.isSlow(b) {
+				if id != "i-0" && b.slowdown > q.slowdownLimit() {
 					slowCalls++
 					break
 				}
