batcher: bound the decisions of an owner in a burst

What callers see: beside the cost of one decision, the number of them took an owner's processor time in a burst. Each job, cancellation and release caused a decision about the whole queue, also while no replica could take a call, and each response an estimate from the whole queue.

Fix: while the last decision has left pieces queued, jobs, cancellations and releases cause the next one within 5 ms; the end of a call still causes one at once, since it frees a replica. Jobs that arrive after queued ones wait for a replica anyway, a hundredth of a call at most longer.

--- a/internal/server/batcher/decision_cost_test.go
+++ b/internal/server/batcher/decision_cost_test.go
@@ -28,9 +28,10 @@
 func (busyReplicas) ReleaseResults(context.Context, *server.Replica, []string) error { return nil }
 func (busyReplicas) ResultAddress(handle string) string                              { return handle }
 
-// decisionCost returns how many tasks, pieces and replicas the decisions about one more job inspect at a service with
-// queued jobs and replicas in five data centres. idle of the replicas can take calls, but have no memory for results.
-func decisionCost(t *testing.T, jobs, replicas, idle int) (cost uint64) {
+// withBacklog calls measure with an owner of a service with queued jobs and replicas in five data centres, and a function
+// that submits one more job and reads the estimate for its response. idle of the replicas can take calls, but have no
+// memory for results.
+func withBacklog(t *testing.T, jobs, replicas, idle int, measure func(o *Owner, s *ownedService, submit func(i int))) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		timer := ticker.New()
@@ -59,6 +60,14 @@
 			submit(i)
 		}
 		time.Sleep(time.Second)
+		measure(o, s, submit)
+	})
+}
+
+// decisionCost returns how many tasks, pieces and replicas the decisions about one more job inspect.
+func decisionCost(t *testing.T, jobs, replicas, idle int) (cost uint64) {
+	t.Helper()
+	withBacklog(t, jobs, replicas, idle, func(_ *Owner, s *ownedService, submit func(int)) {
 		before := s.queue.inspected
 		submit(jobs)
 		cost = s.queue.inspected - before
@@ -78,3 +87,28 @@
 		})
 	}
 }
+
+// costOfSecond returns how many tasks, pieces and replicas the decisions of a second inspect in which jobs arrive behind a
+// backlog and are cancelled.
+func costOfSecond(t *testing.T, perSecond int) (cost uint64) {
+	t.Helper()
+	withBacklog(t, 400, 47, 5, func(o *Owner, s *ownedService, submit func(int)) {
+		before := s.queue.inspected
+		for i := range perSecond {
+			submit(400 + i)
+			o.CancelJobs("s", fmt.Sprint("q", 400+i))
+			time.Sleep(time.Second / time.Duration(perSecond))
+		}
+		cost = s.queue.inspected - before
+	})
+	return cost
+}
+
+// TestCostOfDecisionsIsBoundedInABurst guards against an owner whose decisions use up its processor time in a burst: each
+// job, cancellation and release caused a decision about the whole queue though no replica could take a call.
+func TestCostOfDecisionsIsBoundedInABurst(t *testing.T) {
+	is := is.New(t)
+	usual, burst := costOfSecond(t, 1000), costOfSecond(t, 4000)
+	t.Logf("%d inspected in a second with 1,000 jobs, %d with 4,000", usual, burst)
+	is.True(float64(burst) <= 1.1*float64(usual)) // the cost of decisions grows with the rate of jobs
+}
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -32,6 +32,11 @@
 	// doubles with each consecutive failure up to maxFailureBackoff.
 	minFailureBackoff = 300 * time.Millisecond
 	maxFailureBackoff = 3 * time.Second
+	// dispatchInterval is the least time between two decisions about a service of which the first has left pieces queued,
+	// unless a replica is free meanwhile.
+	dispatchInterval = 5 * time.Millisecond
+	// estimateInterval is how long an estimate of the waits at a service is used.
+	estimateInterval = 10 * time.Millisecond
 	// maxUntrackedReleases bounds the number of results in untrackedReleases of a service.
 	maxUntrackedReleases = 4096
 	// maxAttempts bounds the attempts to compute a piece, the first one included.
@@ -107,8 +112,17 @@
 	// them may still arrive.
 	untrackedReleases map[string]time.Time
 	releaseScheduled  bool
-	cancelDispatch    func()
-	load              serviceLoad
+	// cancelDispatch cancels the scheduled decision, which is due at nextDispatchAt; nil without one. leftQueued is set if the
+	// last decision, at dispatchedAt, left pieces queued.
+	cancelDispatch func()
+	nextDispatchAt time.Time
+	dispatchedAt   time.Time
+	leftQueued     bool
+	// estimate holds the waits by rank as of estimatedAt; see Owner.WaitTimes.
+	estimate         []time.Duration
+	estimateDuration time.Duration
+	estimatedAt      time.Time
+	load             serviceLoad
 }
 
 // OwnerOption sets a property of an Owner.
@@ -253,7 +267,7 @@
 	s.queue.addTask(t)
 	o.recordReturning(s, t, returningAdmitted)
 	s.tasks[job.RequestID] = append(s.tasks[job.RequestID], t)
-	o.dispatch(s)
+	o.dispatchSoon(s)
 }
 
 // BeginDrain prepares the shutdown. Jobs of which no piece is in a call yet fail with
@@ -302,7 +316,7 @@
 	for _, t := range slices.Clone(s.tasks[request]) {
 		o.finishTask(s, t, server.PieceFailureDeadline)
 	}
-	o.dispatch(s)
+	o.dispatchSoon(s)
 }
 
 // Expect records that pieces of a request's stage will be requested.
@@ -322,17 +336,35 @@
 
 // WaitTimes returns the expected times until a new piece is computed, by rank, and as
 // the last entry the time until the whole backlog is computed. callDuration is the part
-// of each time that the piece's own call takes. For an unknown service it returns nil.
+// of each time that the piece's own call takes. For an unknown service it returns nil. The times are as of up to
+// estimateInterval ago; the caller must not change them.
 func (o *Owner) WaitTimes(service string) (byRank []time.Duration, callDuration time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if s := o.services[service]; s != nil {
-		now := o.timer.Now()
+	s := o.services[service]
+	if s == nil {
+		return nil, 0
+	}
+	if now := o.timer.Now(); s.estimate == nil || now.Sub(s.estimatedAt) >= estimateInterval {
 		defer o.recordDecision(s, now)
 		o.updatePauses(s, now)
-		return s.queue.waitTimes(now), s.queue.typicalDuration()
+		s.estimate, s.estimateDuration, s.estimatedAt = s.queue.waitTimes(now), s.queue.typicalDuration(), now
+	}
+	return s.estimate, s.estimateDuration
+}
+
+// dispatchSoon dispatches within dispatchInterval, or now if that may start a call: pieces that the last decision has left
+// queued wait for a replica, and so does a job that arrives after them. The cost of decisions is thereby bounded however many jobs
+// arrive. The caller holds mu.
+func (o *Owner) dispatchSoon(s *ownedService) {
+	now := o.timer.Now()
+	next := s.dispatchedAt.Add(dispatchInterval)
+	switch {
+	case !s.leftQueued || !now.Before(next):
+		o.dispatch(s)
+	case s.cancelDispatch == nil || next.Before(s.nextDispatchAt):
+		o.dispatchAt(s, next, now)
 	}
-	return nil, 0
 }
 
 // dispatch starts every call that can be made now and finishes the tasks that the queue
@@ -356,6 +388,7 @@
 		o.wg.Go(func() { o.runCall(s, c) })
 	}
 	s.recordIdle(now)
+	s.dispatchedAt, s.leftQueued = now, s.queue.length > 0
 	o.scheduleDispatch(s, now)
 }
 
@@ -376,11 +409,8 @@
 // localityWait, one that uses left-over capacity is refused or the backoff of a replica ends, at the latest localityWait from now. The
 // caller holds mu.
 func (o *Owner) scheduleDispatch(s *ownedService, now time.Time) {
-	if s.cancelDispatch != nil {
-		s.cancelDispatch()
-		s.cancelDispatch = nil
-	}
 	if s.queue.length == 0 {
+		s.cancelScheduled()
 		return
 	}
 	dispatchAt := now.Add(localityWait)
@@ -401,7 +431,22 @@
 			}
 		}
 	}
-	s.cancelDispatch = o.timer.After(dispatchAt.Sub(now)+time.Millisecond, func(time.Time) {
+	o.dispatchAt(s, dispatchAt.Add(time.Millisecond), now)
+}
+
+// cancelScheduled cancels the scheduled decision. The caller holds mu.
+func (s *ownedService) cancelScheduled() {
+	if s.cancelDispatch != nil {
+		s.cancelDispatch()
+		s.cancelDispatch = nil
+	}
+}
+
+// dispatchAt schedules the next dispatch instead of the one scheduled before. The caller holds mu.
+func (o *Owner) dispatchAt(s *ownedService, at, now time.Time) {
+	s.cancelScheduled()
+	s.nextDispatchAt = at
+	s.cancelDispatch = o.timer.After(at.Sub(now), func(time.Time) {
 		o.wg.Go(func() {
 			o.mu.Lock()
 			defer o.mu.Unlock()
--- a/internal/server/batcher/release.go
+++ b/internal/server/batcher/release.go
@@ -103,5 +103,5 @@
 			b.removeResult(handle)
 		}
 	}
-	o.dispatch(s)
+	o.dispatchSoon(s)
 }
