--- a/internal/server/batcher/decision_cost_test.go
+++ b/internal/server/batcher/decision_cost_test.go
@@ -52,8 +52,10 @@
 			}
 		}
 		submit := func(i int) {
-			o.Submit(&Job{Service: "s", RequestID: fmt.Sprint("q", i), Stage: 1, Pieces: []int{0, 1}, Inputs: []string{"x"}, ResultBytes: 3e6, Rank: i % 5,
-				Datacentre: fmt.Sprint("dc", i%5), SoftDeadline: time.Now().Add(time.Hour), HardDeadline: time.Now().Add(2 * time.Hour)}, func(Result) {})
+			o.Submit(&Job{
+				Service: "s", RequestID: fmt.Sprint("q", i), Stage: 1, Pieces: []int{0, 1}, Inputs: []string{"x"}, ResultBytes: 3e6, Rank: i % 5,
+				Datacentre: fmt.Sprint("dc", i%5), SoftDeadline: time.Now().Add(time.Hour), HardDeadline: time.Now().Add(2 * time.Hour),
+			}, func(Result) {})
 			o.WaitTimes("s")
 		}
 		for i := range jobs {
