linker, batcher: cancel the jobs of a sender whose link is closed

What callers saw: after an owner of a stage service was taken for unreachable, because it answered a probe late, its senders sent their jobs to the next owner. The first one computed them all the same, for nobody: replicas were busy with results that are never used and that fill their memory until they expire, and the owner stayed busy, so that it answered late again.

Cause: a job went on at its owner until its sender cancelled it, but a sender whose link is closed cancels nothing. The class: work that goes on after the one who asked for it is gone.

Fix: the context of a handler ends with the link that its frame came on, and the owner then cancels that job, not others of the same request, which may have come again on another link.

--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -319,6 +319,22 @@
 	o.dispatchSoon(s)
 }
 
+// CancelJob cancels one job; see CancelJobs.
+func (o *Owner) CancelJob(job *Job) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.services[job.Service]
+	if s == nil {
+		return
+	}
+	for _, t := range slices.Clone(s.tasks[job.RequestID]) {
+		if t.Job == job {
+			o.finishTask(s, t, server.PieceFailureDeadline)
+		}
+	}
+	o.dispatchSoon(s)
+}
+
 // Expect records that pieces of a request's stage will be requested.
 func (o *Owner) Expect(service, request string, stage, count, rank int) {
 	o.mu.Lock()
--- a/internal/server/batcher/submitter.go
+++ b/internal/server/batcher/submitter.go
@@ -188,8 +188,8 @@
 }
 
 // HandlePiecesRequest computes a job of another instance and returns the response to it,
-// with the current wait times of the service. When ctx ends, the job goes on until its
-// sender cancels it.
+// with the current wait times of the service. When ctx ends, the link to the sender is closed: no response
+// can reach it and it sends the job to the next owner, so the job is cancelled here.
 func (s *Submitter) HandlePiecesRequest(ctx context.Context, request *encoder.PiecesRequest) *encoder.Frame {
 	now := s.timer.Now()
 	job := &Job{
@@ -208,7 +208,10 @@
 	case result := <-done:
 		response.Handles, response.Failure = result.Handles, string(result.Failure)
 	case <-ctx.Done():
-		response.Failure = string(server.PieceFailureError)
+		s.log.Info("job cancelled: the link to its sender is closed", "request", job.RequestID, "service", job.Service, "stage", job.Stage)
+		s.owner.CancelJob(job)
+		s.releaseUnclaimed(job.Service, done)
+		return nil
 	}
 	byRank, callDuration := s.owner.WaitTimes(job.Service)
 	response.CallDurationMs = uint32(callDuration.Milliseconds())
--- a/internal/server/linker/export_test.go
+++ b/internal/server/linker/export_test.go
@@ -17,3 +17,12 @@
 
 // CheckLinksAt does what the linker does regularly, as of a time.
 func (l *Linker) CheckLinksAt(now time.Time) { l.checkLinks(now) }
+
+// CloseLinks closes all open links.
+func CloseLinks(l *Linker) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for link := range l.openLinks {
+		go link.close()
+	}
+}
--- a/internal/server/linker/link.go
+++ b/internal/server/linker/link.go
@@ -45,9 +45,11 @@
 // link is an open session with one member. Each call is a stream of its own.
 type link struct {
 	// id is the member's ID.
-	id              string
-	session         *yamux.Session
-	conn            *trackedConn
+	id      string
+	session *yamux.Session
+	conn    *trackedConn
+	// ctx ends with the session.
+	ctx             context.Context
 	callsInProgress atomic.Int64
 	isProbing       atomic.Bool
 	// isOnDemand is set if the link was opened for a call and is closed when it is idle.
@@ -257,6 +259,8 @@
 		go link.close()
 	}
 	l.mu.Unlock()
+	ctx, cancel := context.WithCancel(l.ctx)
+	link.ctx = ctx
 	l.goroutines.Go(func() {
 		for {
 			stream, err := link.session.AcceptStream()
@@ -267,6 +271,7 @@
 		}
 	})
 	go func() {
+		defer cancel()
 		<-link.session.CloseChan()
 		l.mu.Lock()
 		delete(l.openLinks, link)
@@ -289,7 +294,7 @@
 	if err != nil {
 		return
 	}
-	response := l.handler(l.ctx, l.receivedFrom(link.id, frame), frame)
+	response := l.handler(link.ctx, l.receivedFrom(link.id, frame), frame)
 	if response == nil {
 		return
 	}
