encoder: the memory of a frame follows the bytes that arrive

Fix: 64 kB are reserved, and more as bytes arrive.

Evidence: TestAnnouncedFramesReserveNoMemory failed before (2,048 MB for 256 announced frames) and passes with 16.1 MB.

--- a/internal/server/peerer/encoder/encoder.go
+++ b/internal/server/peerer/encoder/encoder.go
@@ -6,7 +6,9 @@
 package encoder
 
 import (
+	"bytes"
 	"encoding/binary"
+	"errors"
 	"io"
 
 	"github.com/ansel1/merry/v2"
@@ -25,6 +27,8 @@
 	MaxDocumentsBytes = 16 << 20
 	// LengthPrefixBytes is the size of the length prefix in bytes.
 	LengthPrefixBytes = 4
+	// readAheadBytes is the memory that is reserved for a frame before its bytes arrive.
+	readAheadBytes = 64 << 10
 )
 
 // Marshal sets the protocol version of a frame and returns the frame in bytes, with
@@ -67,11 +71,15 @@
 	if uint64(size) > uint64(limit) {
 		return nil, merry.Prependf(server.ErrInvalid, "peer frame of %d bytes exceeds the limit of %d", size, limit)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(reader, data); err != nil {
+	// The memory follows what has arrived, not what was announced.
+	var data bytes.Buffer
+	data.Grow(min(int(size), readAheadBytes))
+	if _, err := io.CopyN(&data, reader, int64(size)); errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	} else if err != nil {
 		return nil, err
 	}
-	return Unmarshal(data)
+	return Unmarshal(data.Bytes())
 }
 
 // Write writes one frame of at most limit bytes in a single call of the writer.
--- a/internal/server/peerer/encoder/encoder_test.go
+++ b/internal/server/peerer/encoder/encoder_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -82,3 +83,20 @@
 		}
 	})
 }
+
+// TestAnnouncedFramesReserveNoMemory guards against a peer that announces large frames on many streams and sends none: the
+// memory for all of them was reserved at once.
+func TestAnnouncedFramesReserveNoMemory(t *testing.T) {
+	const frames, announcedBytes, maxReserved = 256, 8 << 20, 64 << 20
+	is := is.New(t)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range frames {
+		prefix := binary.BigEndian.AppendUint32(nil, announcedBytes)
+		_, err := encoder.Read(bytes.NewReader(prefix), announcedBytes)
+		is.True(err != nil)
+	}
+	runtime.ReadMemStats(&after)
+	t.Logf("%.1f MB reserved for %d frames", float64(after.TotalAlloc-before.TotalAlloc)/(1<<20), frames)
+	is.True(after.TotalAlloc-before.TotalAlloc <= maxReserved)
+}
