batcher: no goroutine starts while an owner stops

Cause: timers of decisions and releases started goroutines that Stop waits for, also while it waited, so that Stop could return before they had ended.

Fix: nothing is started after Stop has begun. The test of the cost of decisions reads the queue under the owner's lock now, which the race detector reported too.

--- a/internal/server/batcher/decision_cost_test.go
+++ b/internal/server/batcher/decision_cost_test.go
@@ -45,6 +45,7 @@
 			list[i] = server.Replica{ID: fmt.Sprintf("i-%03d", i), Service: "s", Address: fmt.Sprint("r", i), Datacentre: fmt.Sprint("dc", i%5)}
 		}
 		o.UpdateServices(map[string]server.Backend{"s": {Name: "s", Batch: batch}}, func(string) []server.Replica { return list })
+		o.mu.Lock()
 		s := o.services["s"]
 		for i, r := range list {
 			b := s.queue.replicas[r.ID]
@@ -52,6 +53,7 @@
 				b.activeCalls, b.freeAt = 1, time.Now().Add(time.Hour)
 			}
 		}
+		o.mu.Unlock()
 		submit := func(i int) {
 			o.Submit(&Job{
 				Service: "s", RequestID: fmt.Sprint("q", i), Stage: 1, Pieces: []int{0, 1}, Inputs: []string{"x"}, ResultBytes: 3e6, Rank: i % 5,
@@ -70,10 +72,15 @@
 // decisionCost returns how many tasks, pieces and replicas the decisions about one more job inspect.
 func decisionCost(t *testing.T, jobs, replicas, idle int) (cost uint64) {
 	t.Helper()
-	withBacklog(t, jobs, replicas, idle, func(_ *Owner, s *ownedService, submit func(int)) {
-		before := s.queue.inspected
+	withBacklog(t, jobs, replicas, idle, func(o *Owner, s *ownedService, submit func(int)) {
+		inspected := func() uint64 {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			return s.queue.inspected
+		}
+		before := inspected()
 		submit(jobs)
-		cost = s.queue.inspected - before
+		cost = inspected() - before
 	})
 	return cost
 }
--- a/internal/server/batcher/dispatch.go
+++ b/internal/server/batcher/dispatch.go
@@ -61,7 +61,7 @@
 		s.load.calls++
 		o.counts.Calls++
 		o.counts.Pieces += uint64(len(c.pieces))
-		o.wg.Go(func() { o.runCall(s, c) })
+		o.spawn(func() { o.runCall(s, c) })
 	}
 	s.recordIdle(now)
 	s.dispatchedAt, s.leftQueued = now, s.queue.length > 0
@@ -123,7 +123,7 @@
 	s.cancelScheduled()
 	s.nextDispatchAt = at
 	s.cancelDispatch = o.timer.After(at.Sub(now), func(time.Time) {
-		o.wg.Go(func() {
+		o.spawn(func() {
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			if s.cancelDispatch == nil || !s.nextDispatchAt.Equal(at) {
--- a/internal/server/batcher/owner.go
+++ b/internal/server/batcher/owner.go
@@ -63,7 +63,10 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
-	counts   Counts
+	// spawnMu guards isStopped, after which no goroutine is started.
+	spawnMu   sync.Mutex
+	isStopped bool
+	counts    Counts
 	// sendState sends the state of a service's replicas to the service's next owner.
 	sendState func(*encoder.ServiceState)
 	// blocker knows the requests whose pieces crash replicas; nil without one.
@@ -152,10 +155,22 @@
 
 // Stop cancels all calls and waits until they have returned.
 func (o *Owner) Stop() {
+	o.spawnMu.Lock()
+	o.isStopped = true
+	o.spawnMu.Unlock()
 	o.cancel()
 	o.wg.Wait()
 }
 
+// spawn runs a function in a goroutine that Stop waits for, unless the owner has stopped: a timer may fire while it stops.
+func (o *Owner) spawn(run func()) {
+	o.spawnMu.Lock()
+	defer o.spawnMu.Unlock()
+	if !o.isStopped {
+		o.wg.Go(run)
+	}
+}
+
 // Counts returns the totals so far.
 func (o *Owner) Counts() Counts {
 	o.mu.Lock()
--- a/internal/server/batcher/release.go
+++ b/internal/server/batcher/release.go
@@ -36,7 +36,7 @@
 	}
 	if len(s.pendingReleases) > 0 && !s.releaseScheduled {
 		s.releaseScheduled = true
-		o.timer.After(replicaReleaseDelay, func(time.Time) { o.wg.Go(func() { o.flushReleases(s) }) })
+		o.timer.After(replicaReleaseDelay, func(time.Time) { o.spawn(func() { o.flushReleases(s) }) })
 	}
 }
 
@@ -69,7 +69,7 @@
 // has dropped by then.
 func (o *Owner) postponeRelease(s *ownedService, holder *server.Replica, handles []string, wait time.Duration) {
 	o.timer.After(wait, func(now time.Time) {
-		o.wg.Go(func() {
+		o.spawn(func() {
 			o.mu.Lock()
 			defer o.mu.Unlock()
 			b := s.queue.replicas[holder.ID]
