validator: a connection that was reset does not end a response

What callers saw: a replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still written. The client got that part as a complete response.

Cause: Linux reports a reset once for a socket. The write in progress got it, so that the next read returned 0 bytes, and io.EOF was taken for the end of a body without a length. The result of the write decided only whether the connection was kept. A peek at the socket takes the error away in the same way.

Change: validator.Conn decides for every response on a connection to a replica whether its end is the end of the body. Read returns io.EOF within a response only once the whole request was sent, the system says that the other side has acknowledged it, and the connection is not in the state of one that was reset; otherwise io.ErrUnexpectedEOF. The state comes from the socket (TCP_INFO), so it does not matter who got the error, and the result of the send is awaited, so it does not matter which goroutine runs first. A server that ends its side after an early response and reads the rest of the request is waited for, until the deadline closes the connection. Framed responses never reach the end of their connection and are delivered as before. What follows a broken response was there already: repeatable requests go on at another replica, others end with 502, and what has begun is broken off.

A connection whose request turns out to be stale is closed at once now, as the other ones that are withheld: a reader would wait for a request that is never sent.

--- a/internal/server/dialer/conn.go
+++ b/internal/server/dialer/conn.go
@@ -14,6 +14,7 @@
 
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/peeker"
+	"oriolemill.example/oriolemill/internal/validator"
 )
 
 // Limits on responses to earlier requests.
@@ -25,9 +26,10 @@
 )
 
 // Conn is a connection to a replica. It carries one request and its response at a
-// time.
+// time. A response that ends with the connection is whole only if the connection says so,
+// see validator.Conn.
 type Conn struct {
-	net.Conn
+	*validator.Conn
 	reader *bufio.Reader
 	// headLimiter is what reader reads from.
 	headLimiter *headLimiter
@@ -51,7 +53,7 @@
 // ReportPause reports that the replica has requested a pause in a response on the connection, to the
 // instance through which it leads, if any. It does not block.
 func (c *Conn) ReportPause(pause time.Duration) {
-	if reporter, ok := c.Conn.(interface{ ReportPause(time.Duration) }); ok {
+	if reporter, ok := c.Unwrap().(interface{ ReportPause(time.Duration) }); ok {
 		reporter.ReportPause(pause)
 	}
 }
@@ -67,12 +69,12 @@
 
 // IsClosed reports whether the connection is closed on either side. It may be called while
 // another goroutine reads a response.
-func (c *Conn) IsClosed() bool { return peeker.Peek(c.Conn) == peeker.StateClosed }
+func (c *Conn) IsClosed() bool { return peeker.Peek(c.Unwrap()) == peeker.StateClosed }
 
 // isOpenWithoutInput reports whether the idle connection is open and the
 // replica has sent nothing on it.
 func (c *Conn) isOpenWithoutInput() bool {
-	return c.reader.Buffered() == 0 && peeker.Peek(c.Conn) == peeker.StateQuiet
+	return c.reader.Buffered() == 0 && peeker.Peek(c.Unwrap()) == peeker.StateQuiet
 }
 
 // WriteRequest writes a complete request. It writes target unchanged, so that the upstream
@@ -89,7 +91,9 @@
 	_ = header.Write(writer)
 	_, _ = writer.WriteString("\r\n")
 	_, _ = writer.Write(body)
-	return writer.Flush()
+	err := writer.Flush()
+	c.EndRequest(err)
+	return err
 }
 
 // ReadResponse reads the headers of the response to the request with an ID; with "" it
@@ -98,6 +102,7 @@
 // response without an ID is accepted only on a new connection and with a status of
 // 300 or above. If the response is cut off, reading its body returns an error.
 func (c *Conn) ReadResponse(method, id string, idOf func(*http.Response) string) (*http.Response, error) {
+	c.BeginResponse()
 	for range maxSkippedResponses + 1 {
 		response, err := c.readFinalResponse(method)
 		if err != nil {
--- a/internal/server/dialer/dialer.go
+++ b/internal/server/dialer/dialer.go
@@ -15,6 +15,7 @@
 
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/tuner"
+	"oriolemill.example/oriolemill/internal/validator"
 )
 
 const (
@@ -163,9 +164,10 @@
 
 // newConn returns a new connection to a replica.
 func (d *Dialer) newConn(raw net.Conn, replica *server.Replica, isRelayed bool) *Conn {
-	limiter := &headLimiter{Conn: raw}
+	conn := validator.NewConn(raw)
+	limiter := &headLimiter{Conn: conn}
 	return &Conn{
-		Conn: raw, reader: bufio.NewReaderSize(limiter, bufferBytes), headLimiter: limiter, replicaID: replica.ID,
+		Conn: conn, reader: bufio.NewReaderSize(limiter, bufferBytes), headLimiter: limiter, replicaID: replica.ID,
 		startMillis: replica.StartMillis, address: replica.Address, isRelayed: isRelayed, openedAt: d.timer.Now(),
 	}
 }
--- a/internal/server/exchanger/exchanger.go
+++ b/internal/server/exchanger/exchanger.go
@@ -283,8 +283,8 @@
 		return err
 	}
 	if conn.IsReused() && conn.IsClosed() {
+		_ = conn.Close() // ends ReadResponse
 		if request.IsDoubtful != nil {
-			_ = conn.Close() // ends ReadResponse
 			return server.NewFault("exchange", replica.ID, merry.Prepend(server.ErrWithheld, "the replica has closed the connection"))
 		}
 		return server.NewFault("exchange", replica.ID, errStale)
--- a/internal/server/peeker/peeker.go
+++ b/internal/server/peeker/peeker.go
@@ -1,5 +1,5 @@
-// Package peeker looks at the input of a connection without reading it. The result is that
-// of the moment, while a goroutine that reads from the connection may run late.
+// Package peeker looks at the input of a connection without reading it, and at what the other side has
+// acknowledged. The result is that of the moment, while a goroutine that reads from the connection may run late.
 package peeker
 
 import (
