--- a/internal/server/tunneler/client.go
+++ b/internal/server/tunneler/client.go
@@ -252,7 +252,7 @@
 // open asks a helper for a connection to a replica. The connection of the answer is nil unless its
 // status is statusConnected.
 func (c *Client) open(ctx context.Context, helper server.Instance, replica *server.Replica) answer {
-	conn, a := c.exchange(ctx, helper, request{Replica: replica.ID, Address: replica.Address})
+	conn, a := c.exchange(ctx, helper, request{Replica: replica.ID, Address: replica.Address, IsCounted: true})
 	if conn != nil {
 		conn.reportPause = func(pause time.Duration) {
 			if other, _ := c.exchange(context.Background(), helper, request{Replica: replica.ID, Address: replica.Address, PauseMillis: pause.Milliseconds()}); other != nil {
--- a/internal/server/tunneler/helper.go
+++ b/internal/server/tunneler/helper.go
@@ -9,10 +9,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-logr/logr"
 
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/tuner"
+	"oriolemill.example/oriolemill/internal/validator"
 )
 
 const (
@@ -23,6 +25,8 @@
 	writeTimeout = 5 * time.Second
 	// requestWriteTimeout bounds a write to a replica that does not read. Clients' requests end within it.
 	requestWriteTimeout = time.Minute
+	// endTimeout bounds the wait for a write in progress once the replica has ended its data.
+	endTimeout = time.Second
 	// MaxConnections bounds the connections that a helper passes on at once unless WithMaxConnections sets another bound.
 	MaxConnections = 256
 )
@@ -109,7 +113,7 @@
 	}
 	h.servedCount.Add(1)
 	if conn.SetDeadline(time.Time{}) == nil {
-		pass(conn, upstream)
+		pass(conn, upstream, r.IsCounted)
 	}
 	_ = upstream.Close()
 }
@@ -155,27 +159,39 @@
 }
 
 // pass copies bytes between an instance and a replica until one of them ends its connection. The end
-// of the replica's data is passed on; an instance that closes its connection needs no response.
-func pass(conn, upstream net.Conn) {
-	go copyRequest(upstream, conn)
-	_ = copyFrames(deadlineWriter{conn}, upstream)
+// of the replica's data is passed on if it is an orderly one; an instance that closes its connection
+// needs no response. isCounted is that of the request.
+func pass(conn, upstream net.Conn, isCounted bool) {
+	sender := &requestSender{upstream: upstream, writing: make(chan struct{}, 1)}
+	go sender.copyFrom(conn)
+	_ = copyFrames(deadlineWriter{conn}, upstream, func() ([]byte, error) {
+		received, err := sender.checkEnd()
+		return endFrame(isCounted, received), err
+	})
 	_ = conn.Close()
 }
 
-// copyRequest copies the bytes to a replica, and closes its connection when the instance has closed
+// requestSender sends the bytes of an instance to a replica.
+type requestSender struct {
+	upstream net.Conn
+	// writing has one element while upstream is written to, or the fields below are read.
+	writing chan struct{}
+	sent    uint64
+	// err is why a write failed.
+	err error
+}
+
+// copyFrom copies the bytes to the replica, and closes its connection when the instance has closed
 // its own. A replica may end a connection whose request it has not read, and its response still
-// counts, so a failed write closes nothing.
-func copyRequest(upstream, conn net.Conn) {
-	defer func() { _ = upstream.Close() }()
+// counts if it states its length, so a failed write closes nothing.
+func (s *requestSender) copyFrom(conn net.Conn) {
+	defer func() { _ = s.upstream.Close() }()
 	buffer := make([]byte, frameBytes)
 	hasFailed := false
 	for {
 		n, err := conn.Read(buffer)
 		if n > 0 && !hasFailed {
-			// The end of conn is not noticed during the write.
-			_ = upstream.SetWriteDeadline(time.Now().Add(requestWriteTimeout))
-			_, writeErr := upstream.Write(buffer[:n])
-			hasFailed = writeErr != nil
+			hasFailed = s.write(buffer[:n]) != nil
 		}
 		if err != nil {
 			return
@@ -183,6 +199,38 @@
 	}
 }
 
+// write writes to the replica. The end of the instance's connection is not noticed during the write.
+func (s *requestSender) write(data []byte) error {
+	s.writing <- struct{}{}
+	defer func() { <-s.writing }()
+	_ = s.upstream.SetWriteDeadline(time.Now().Add(requestWriteTimeout))
+	n, err := s.upstream.Write(data)
+	s.sent, s.err = s.sent+uint64(n), err
+	return err
+}
+
+// checkEnd returns the number of bytes that the replica has received, or an error if the end of its data
+// is not an orderly one.
+func (s *requestSender) checkEnd() (received uint64, err error) {
+	received, err = s.awaitWrite()
+	if err != nil {
+		return 0, err
+	}
+	return received, validator.AwaitAcknowledgement(s.upstream)
+}
+
+// awaitWrite waits for a write in progress, which may have got the error of a reset, and returns the number
+// of bytes that were sent.
+func (s *requestSender) awaitWrite() (sent uint64, err error) {
+	select {
+	case s.writing <- struct{}{}:
+		defer func() { <-s.writing }()
+		return s.sent, s.err
+	case <-time.After(endTimeout):
+		return 0, merry.New("the replica has ended the connection and does not read")
+	}
+}
+
 // deadlineWriter bounds each write to a connection by writeTimeout.
 type deadlineWriter struct{ net.Conn }
 
--- a/internal/server/tunneler/helper_test.go
+++ b/internal/server/tunneler/helper_test.go
@@ -17,7 +17,7 @@
 		upstream, replica := net.Pipe()
 		defer func() { _ = replica.Close() }()
 		done := make(chan struct{})
-		go func() { pass(conn, upstream); close(done) }()
+		go func() { pass(conn, upstream, true); close(done) }()
 		_, err := instance.Write(make([]byte, 2*frameBytes))
 		is.NoErr(err)
 		is.NoErr(instance.Close())
