validator: a status that is none does not make a response

What callers saw: a replica in trouble sent a head with status 000. If another head followed, they got that one as the response, with status 200; statuses of 600 and above were forwarded.

Cause: net/http takes any three characters that parse as a number for a status, +20 and -00 among them. Whatever was below 200 was skipped as informational, so that the bytes after it became a head of their own.

Change: validator.CheckHead decides which heads are well-formed, and is called for each head that is read from a replica, before a status is taken for informational. Statuses are 100 to 599 (RFC 9110, section 15). A malformed head is ErrMismatch as other bytes that are no response: the request may have run, so repeatable ones go on at another replica, others end with 502.

Handled before, tests kept: 000, 001, 020, 099, +20, -20, -00 alone, statuses that are no three characters or no number.

--- a/internal/server/dialer/conn.go
+++ b/internal/server/dialer/conn.go
@@ -125,12 +125,15 @@
 }
 
 // readFinalResponse reads the headers of the next response that is not
-// informational. It returns ErrMismatch for a head of more than maxHeadBytes.
+// informational. It returns ErrMismatch for a malformed head and for one of more than maxHeadBytes.
 func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
 	c.headLimiter.begin()
 	defer c.headLimiter.end()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err == nil {
+			err = validator.CheckHead(response)
+		}
 		if err != nil {
 			return nil, classifyReadError(err)
 		}
--- a/internal/validator/conn.go
+++ b/internal/validator/conn.go
@@ -1,4 +1,5 @@
-// Package validator decides, for all readers of HTTP responses, whether a response is whole.
+// Package validator decides, for all readers of HTTP responses, whether the head of a response is well-formed, and
+// whether a response is whole.
 package validator
 
 import (
