--- a/internal/validator/head_test.go
+++ b/internal/validator/head_test.go
@@ -29,3 +29,14 @@
 		is.True(checkText(t, "HTTP/1.1 "+status+" Odd") != nil)
 	}
 }
+
+// Guards against names of fields that net/http accepts and that are none.
+func TestFieldNamesAreChecked(t *testing.T) {
+	is := is.New(t)
+	for _, line := range []string{"X-A: 1", "x-a:", "!#$%&'*+-.^_`|~09aZ: 1", "X-A: \u00e9\t1"} {
+		is.NoErr(checkText(t, "HTTP/1.1 200 OK\r\n"+line))
+	}
+	for _, line := range []string{"X A: 1", "X-A : 1", "Content-Length : 1", "Transfer-Encoding : chunked", "Connection : close"} {
+		is.True(checkText(t, "HTTP/1.1 200 OK\r\nX-B: 1\r\n"+line) != nil)
+	}
+}
