validator: the same checks for readers that use http.Client

What callers saw: the fault was found in the relay; the same cause acts in what reads responses with http.Client: calls of the JSON interface and orders (caller), the platform (storer), the users' store (platform), and the client library. Results, rows and orders' answers were used though a field's name had a blank, also in an informational head.

Cause: http.Transport has the same parser, and takes the same end of a connection for the end of a body. A reset whose error a write got is an end for it, and what it reports as a written request may not be written to its last bytes.

Change: validator.NewTransport wraps an http.Transport: CheckHead decides for each head, and its connections are validator.Conn, which are told by the bytes that were written when the request is complete. Informational heads are bounded together as before. Nothing is decompressed any more: neither side of the project compresses, and it hides how a body ends. An order after a malformed head has an unknown state, as after other broken responses: never "not run".

Handled before, tests kept: statuses that are none (not 200 for any reader), and cut JSON, whose end is its closing bracket.

--- a/internal/measurer/client.go
+++ b/internal/measurer/client.go
@@ -12,6 +12,7 @@
 
 	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/standin"
+	"oriolemill.example/oriolemill/internal/validator"
 )
 
 const (
@@ -76,7 +77,7 @@
 
 func newClient(addresses []string) *client {
 	return &client{
-		httpClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}},
+		httpClient: &http.Client{Transport: validator.NewTransport(&http.Transport{MaxIdleConnsPerHost: 512})},
 		addresses:  addresses,
 	}
 }
--- a/internal/server/caller/caller.go
+++ b/internal/server/caller/caller.go
@@ -16,6 +16,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/validator"
 )
 
 // Limits of the client.
@@ -78,8 +79,8 @@
 	}
 	singleUseTransport := &http.Transport{DialContext: dialChecked, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	c := &Caller{
-		client:    &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
-		singleUse: &http.Client{Transport: singleUseTransport, CheckRedirect: refuseRedirect},
+		client:    &http.Client{Transport: validator.NewTransport(transport), CheckRedirect: refuseRedirect},
+		singleUse: &http.Client{Transport: validator.NewTransport(singleUseTransport), CheckRedirect: refuseRedirect},
 		token:     func(string) string { return "" },
 		now:       time.Now,
 	}
--- a/internal/server/caller/send_check.go
+++ b/internal/server/caller/send_check.go
@@ -88,8 +88,12 @@
 // one that earlier calls have used.
 func withSendCheck(ctx context.Context, check *sendCheck) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*checkedConn); ok {
-			conn.check.Store(check)
+		conn := info.Conn
+		if wrapped, ok := conn.(interface{ Unwrap() net.Conn }); ok {
+			conn = wrapped.Unwrap()
+		}
+		if checked, ok := conn.(*checkedConn); ok {
+			checked.check.Store(check)
 		}
 	}})
 }
--- a/internal/server/caller/unframed_test.go
+++ b/internal/server/caller/unframed_test.go
@@ -20,16 +20,18 @@
 // ignoreToken is a server.TokenHandler that accepts every token.
 func ignoreToken(server.Token) error { return nil }
 
-// TestBrokenUnframedResponseIsAnError guards against responses that end with their connection
-// and are taken for complete though they were broken off, at any byte.
-func TestBrokenUnframedResponseIsAnError(t *testing.T) {
+// readingCall is a call that reads a response, and the stand-in that serves it.
+type readingCall struct {
+	handler http.Handler
+	call    func(c *caller.Caller, upstream *server.Upstream, call server.Call) error
+}
+
+// readingCalls returns all calls that read a response, by name.
+func readingCalls(t *testing.T) map[string]readingCall {
 	faults := standin.NewFaultInjector()
 	engine := standin.NewEngine(faults, standin.EngineSpeed{Slots: 4, PrefillRate: 1e9, StepTime: time.Nanosecond}).Handler()
 	pool := standin.NewPool(faults, 4, 0, echo).Handler()
-	calls := map[string]struct {
-		handler http.Handler
-		call    func(c *caller.Caller, upstream *server.Upstream, call server.Call) error
-	}{
+	return map[string]readingCall{
 		"run": {pool, func(c *caller.Caller, upstream *server.Upstream, call server.Call) error {
 			_, err := c.Run(t.Context(), upstream, call)
 			return err
@@ -55,7 +57,12 @@
 			return err
 		}},
 	}
-	for name, testCase := range calls {
+}
+
+// TestBrokenUnframedResponseIsAnError guards against responses that end with their connection
+// and are taken for complete though they were broken off, at any byte.
+func TestBrokenUnframedResponseIsAnError(t *testing.T) {
+	for name, testCase := range readingCalls(t) {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var size atomic.Int64 // of the last body, without its final line end
--- a/internal/server/storer/storer.go
+++ b/internal/server/storer/storer.go
@@ -18,6 +18,7 @@
 
 	"oriolemill.example/oriolemill/internal/messenger"
 	"oriolemill.example/oriolemill/internal/server"
+	"oriolemill.example/oriolemill/internal/validator"
 )
 
 // Limits of the platform client.
@@ -47,7 +48,7 @@
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &Storer{baseURL: baseURL, client: &http.Client{Transport: transport}}
+	return &Storer{baseURL: baseURL, client: &http.Client{Transport: validator.NewTransport(transport)}}
 }
 
 // Get implements server.Table.
--- a/internal/server/storer/storer_test.go
+++ b/internal/server/storer/storer_test.go
@@ -1,12 +1,14 @@
 package storer_test
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"oriolemill.example/oriolemill/internal/server"
 	"oriolemill.example/oriolemill/internal/server/storer"
 	"oriolemill.example/oriolemill/internal/standin"
 )
@@ -47,3 +49,28 @@
 		is.True(err != nil) // broken off
 	}
 }
+
+// TestResponseWithMalformedHeadIsAnError guards against rows that are read, and writes that count as done, though the
+// head of the response is malformed.
+func TestResponseWithMalformedHeadIsAnError(t *testing.T) {
+	is := is.New(t)
+	platform, err := standin.ListenUnframed("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("{}")) }))
+	is.NoErr(err)
+	defer platform.Close()
+	s := storer.New("http://" + platform.Address())
+	calls := map[string]func() error{
+		"scan":   func() error { _, err := s.Scan(t.Context(), "t", "", 10); return err },
+		"commit": func() error { _, err := s.Commit(t.Context(), nil); return err },
+		"put":    func() error { return s.PutObject(t.Context(), "name", []byte("object")) },
+	}
+	for name, call := range calls {
+		is.NoErr(call())
+		platform.EachMalformedHead(func(head string) {
+			err := call()
+			if err == nil {
+				t.Errorf("%s, %q: no error", name, head)
+			}
+			is.True(name == "scan" || errors.Is(err, server.ErrUncertain)) // the write may have been applied
+		})
+	}
+}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"oriolemill.example/oriolemill/internal/validator"
 )
 
 // Limits of the client.
@@ -56,7 +58,7 @@
 	}
 	c := &Client{baseURL: strings.TrimSuffix(baseURL, "/")}
 	c.httpClient = &http.Client{
-		Transport:     transport,
+		Transport:     validator.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	for _, option := range options {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"oriolemill.example/oriolemill/internal/standin"
 	"oriolemill.example/oriolemill/pkg/client"
 )
 
@@ -119,3 +120,36 @@
 	_, err = client.New(address).Call(context.Background(), client.Request{Pipeline: "p"})
 	is.Equal(client.OutcomeOf(err), client.OutcomeNotRun)
 }
+
+// Guards against answers that are used though the head of the response is malformed.
+func TestResponseWithMalformedHeadIsAnError(t *testing.T) {
+	is := is.New(t)
+	answers := map[string]http.HandlerFunc{
+		"call":   func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"outcome":"done"}`) },
+		"stream": serveEvents(firstToken, secondToken, endEvent),
+	}
+	calls := map[string]func(c *client.Client) error{
+		"call": func(c *client.Client) error {
+			_, err := c.Call(t.Context(), client.Request{Pipeline: "p"})
+			return err
+		},
+		"stream": func(c *client.Client) error {
+			_, err := c.Stream(t.Context(), client.Request{Pipeline: "p"}, func(client.Token) error { return nil })
+			return err
+		},
+	}
+	for name, call := range calls {
+		server, err := standin.ListenUnframed("127.0.0.1:0", answers[name])
+		is.NoErr(err)
+		defer server.Close()
+		c := client.New("http://" + server.Address())
+		is.NoErr(call(c))
+		server.EachMalformedHead(func(head string) {
+			err := call(c)
+			if err == nil {
+				t.Errorf("%s, %q: no error", name, head)
+			}
+			is.Equal(client.OutcomeOf(err), client.OutcomeUnknown) // the request may have run
+		})
+	}
+}
