storer: an object is not stored after an early response that was reset

What callers saw: an object counted as stored although the platform had answered with a 200 without a length at once and reset the connection while the object was sent.

Cause: the response to a write of an object ends the write with its status, and its body was never read, so that its end was not seen.

Change: the body is read to its end. A response that breaks off leaves the write uncertain, as a lost one does.

--- a/internal/server/storer/storer.go
+++ b/internal/server/storer/storer.go
@@ -188,6 +188,9 @@
 		return merry.Prependf(server.ErrUncertain, "status %d", response.StatusCode)
 	}
 	if into == nil {
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes)); err != nil {
+			return merry.Prepend(server.ErrUncertain, err.Error())
+		}
 		return nil
 	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(into); err != nil {
--- a/internal/server/storer/storer_test.go
+++ b/internal/server/storer/storer_test.go
@@ -1,10 +1,14 @@
 package storer_test
 
 import (
+	"bufio"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -74,3 +78,29 @@
 		})
 	}
 }
+
+// TestWriteIsUncertainAfterAnEarlyResponse guards against objects that count as stored though the connection was reset
+// while they were sent.
+func TestWriteIsUncertainAfterAnEarlyResponse(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	s := storer.New("http://" + listener.Addr().String())
+	for range 10 {
+		is.True(errors.Is(s.PutObject(t.Context(), "name", make([]byte, 16<<20)), server.ErrUncertain))
+	}
+}
