validator: leave compression to the transport

The end of a connection is checked below the decompression, so nothing needs that change; each transport is as it was.

--- a/internal/measurer/client.go
+++ b/internal/measurer/client.go
@@ -77,7 +77,7 @@
 
 func newClient(addresses []string) *client {
 	return &client{
-		httpClient: &http.Client{Transport: validator.NewTransport(&http.Transport{MaxIdleConnsPerHost: 512})},
+		httpClient: &http.Client{Transport: validator.NewTransport(&http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true})},
 		addresses:  addresses,
 	}
 }
--- a/internal/validator/transport.go
+++ b/internal/validator/transport.go
@@ -25,7 +25,7 @@
 
 // NewTransport returns base with checks: it returns errors for responses with malformed heads, and reads of a body fail
 // unless the end of its connection is an orderly one, see Conn. A request with a body must state its length. base is
-// not used in any other way after this; it decompresses nothing, as that hides how a body ends.
+// not used in any other way after this.
 func NewTransport(base *http.Transport) http.RoundTripper {
 	dial := base.DialContext
 	if dial == nil {
@@ -38,7 +38,6 @@
 		}
 		return &requestConn{Conn: NewConn(conn)}, nil
 	}
-	base.DisableCompression = true
 	t := &transport{base: base, maxHeadBytes: defaultMaxHeadBytes}
 	if base.MaxResponseHeaderBytes > 0 {
 		t.maxHeadBytes = base.MaxResponseHeaderBytes
--- a/internal/validator/transport_test.go
+++ b/internal/validator/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"compress/gzip"
 	"io"
 	"net"
 	"net/http"
@@ -153,3 +154,22 @@
 		t.Fatal("informational heads are still being read")
 	}
 }
+
+// Guards against responses that are no longer compressed, such as the platform's list of instances.
+func TestTransportAcceptsCompression(t *testing.T) {
+	s := newRawServer(t, func(conn *net.TCPConn, request *http.Request) bool {
+		var body bytes.Buffer
+		if request.Header.Get("Accept-Encoding") == "gzip" {
+			_, _ = body.WriteString("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n\r\n")
+			writer := gzip.NewWriter(&body)
+			_, _ = io.WriteString(writer, part)
+			_ = writer.Close()
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = body.WriteTo(conn)
+		return false
+	})
+	body, err := s.post(1)
+	s.NoErr(err)
+	s.Equal(body, part)
+}
