--- a/internal/server/tunneler/end_test.go
+++ b/internal/server/tunneler/end_test.go
@@ -70,6 +70,22 @@
 	f.True(err != nil)
 }
 
+// Guards against responses that look whole at an instance because the helper's system took in the request that the
+// replica never read.
+func TestEndWithAnUnreadRequestIsNoEnd(t *testing.T) {
+	f := newFleet(t, nil)
+	conn, accepted := f.open(t)
+	f.NoErr(accepted.(*net.TCPConn).SetReadBuffer(1))
+	checked := upload(conn, 64<<10)
+	_, err := io.WriteString(accepted, "some of it")
+	f.NoErr(err)
+	time.Sleep(20 * time.Millisecond) // until the helper has written the request
+	f.NoErr(accepted.(*net.TCPConn).CloseWrite())
+	time.AfterFunc(20*time.Millisecond, func() { _ = accepted.Close() }) // resets, as there is unread input
+	_, err = io.ReadAll(checked)
+	f.True(err != nil)
+}
+
 // Guards against whole responses that are taken for broken ones.
 func TestEndAfterTheWholeRequestIsPassedOn(t *testing.T) {
 	f := newFleet(t, nil)
