--- a/internal/server/caller/malformed_test.go
+++ b/internal/server/caller/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -40,3 +41,23 @@
 		})
 	}
 }
+
+// TestEarlyResponseThatIsResetIsAnError guards against parts of results that are used, and against orders that count as not
+// run, after a response whose connection was reset while the call was sent.
+func TestEarlyResponseThatIsResetIsAnError(t *testing.T) {
+	is := is.New(t)
+	upstream, err := standin.ListenEarly("127.0.0.1:0", "HTTP/1.1 200 OK\r\n\r\n{")
+	is.NoErr(err)
+	defer upstream.Close()
+	c := caller.New()
+	defer c.Close()
+	call := newCall(strings.Repeat("x", 8<<20))
+	for range 3 {
+		_, err := c.Run(t.Context(), upstreamAt(upstream.Address()), call)
+		is.True(err != nil)
+		call.IdempotencyKey = "key"
+		_, sendState, err := c.Operate(t.Context(), upstreamAt(upstream.Address()), call)
+		call.IdempotencyKey = ""
+		is.True(err != nil && sendState == server.SendStateUnknown) // the order may have run
+	}
+}
--- a/internal/server/exchanger/broken_test.go
+++ b/internal/server/exchanger/broken_test.go
@@ -1,10 +1,8 @@
 package exchanger_test
 
 import (
-	"bufio"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -76,23 +74,10 @@
 // call was sent.
 func TestResultsOfAnEarlyResponseAreNotUsed(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	upstream, err := standin.ListenEarly("127.0.0.1:0", "HTTP/1.1 200 OK\r\n\r\n"+`"handle"`)
 	is.NoErr(err)
-	defer func() { _ = listener.Close() }()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(conn))
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+`"handle"`)
-			time.Sleep(20 * time.Millisecond) // until the exchanger waits in a write
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-		}
-	}()
-	x, replica := newExchanger(t), &server.Replica{ID: "i-1", Address: listener.Addr().String()}
+	defer upstream.Close()
+	x, replica := newExchanger(t), &server.Replica{ID: "i-1", Address: upstream.Address()}
 	for range 10 {
 		_, err := x.ComputePieces(t.Context(), replica, []server.Piece{{RequestID: strings.Repeat("x", 16<<20)}})
 		is.True(errors.Is(err, server.ErrConnectionLost) || errors.Is(err, server.ErrUnavailable))
--- a/internal/server/storer/storer_test.go
+++ b/internal/server/storer/storer_test.go
@@ -1,14 +1,10 @@
 package storer_test
 
 import (
-	"bufio"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -83,23 +79,10 @@
 // while they were sent.
 func TestWriteIsUncertainAfterAnEarlyResponse(t *testing.T) {
 	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	platform, err := standin.ListenEarly("127.0.0.1:0", "HTTP/1.1 200 OK\r\n\r\n")
 	is.NoErr(err)
-	defer func() { _ = listener.Close() }()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = http.ReadRequest(bufio.NewReader(conn))
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
-			time.Sleep(20 * time.Millisecond)
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-		}
-	}()
-	s := storer.New("http://" + listener.Addr().String())
+	defer platform.Close()
+	s := storer.New("http://" + platform.Address())
 	for range 10 {
 		is.True(errors.Is(s.PutObject(t.Context(), "name", make([]byte, 16<<20)), server.ErrUncertain))
 	}
