--- a/internal/validator/conn.go
+++ b/internal/validator/conn.go
@@ -33,7 +33,7 @@
 	// hasInput is set once a byte of the current response was read.
 	hasInput atomic.Bool
 	mu       sync.Mutex
-	// responses is the number of responses that were begun to be read, requests that of the requests that were sent.
+	// responses counts the calls of BeginResponse, and requests those of EndRequest without an error.
 	responses, requests int
 	// err is why a request was not sent.
 	err error
--- a/internal/validator/conn_test.go
+++ b/internal/validator/conn_test.go
@@ -184,7 +184,7 @@
 	p.True(p.readEnd() != nil)
 }
 
-// Guards against connections that wait for a request though no response has begun: its reader needs no end.
+// Guards against a wait for the request when the server ends the connection before it responds.
 func TestEndBeforeAResponseIsPassedOn(t *testing.T) {
 	p := newPair(t)
 	p.NoErr(p.send("request"))
--- a/internal/validator/transport_test.go
+++ b/internal/validator/transport_test.go
@@ -134,7 +134,7 @@
 	s.Equal(s.conns.Load(), int64(1))
 }
 
-// Guards against informational heads without end, which the transport bounds only if nobody looks at them.
+// Guards against informational heads without end: the transport bounds them together only without Got1xxResponse.
 func TestTransportBoundsInformationalHeads(t *testing.T) {
 	s := newRawServer(t, func(conn *net.TCPConn, _ *http.Request) bool {
 		for err := error(nil); err == nil; {
