gossiper: a process of the restart tests is complete once others find it

Cause: the fixture put a process where others find it before it had set the function that ends it and started its goroutines, so that another goroutine could kill it in between. Only the test's own code is concerned. The process is complete now, under the lock, when others can find it; checks and bounds are unchanged.

--- a/internal/server/gossiper/restart_process_test.go
+++ b/internal/server/gossiper/restart_process_test.go
@@ -73,13 +73,14 @@
 		registrar.WithWatchTurns(p.Position),
 		registrar.WithOutageHandler(func(outage server.Outage) { p.gossiper.NotifyOutageEnd(outage) }))
 	p.gossiper = gossiper.New(logr.Discard(), p.timer, p, p)
-	n.mu.Lock()
-	n.current[p.id] = p
-	n.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
+	n.mu.Lock()
+	// Once it is in current, it may be killed.
+	n.current[p.id] = p
 	p.done.Go(func() { p.Run(ctx, p.store) })
 	p.done.Go(func() { p.checkLinks(ctx) })
+	n.mu.Unlock()
 	p.store.store.count("put " + registrar.TableInstances)
 	p.store.store.writeInstance(p.instance)
 	return p
